--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use applevane::interface::*;
-use applevane::Gateway;
+use pipittack::interface::*;
+use pipittack::Gateway;
 
 fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
--- a/src/bin/applevane-adapter/write.rs
+++ b/src/bin/pipittack-benchlink/write.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use applevane::interface::Action;
+use pipittack::interface::Action;
 use serde_json::{json, Value};
 
 fn ms(time: Duration) -> f64 {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod decide;
 mod estimate;
 pub mod interface;
+pub mod settings;
 mod state;
 
 pub use decide::Gateway;
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,264 @@
+//! The settings object, as JSON, to [`Settings`] and the names that go with them.
+//!
+//! Owns the spelling of every key and word of the settings, for the proxy's configuration file and the
+//! simulator's first message alike. It must never decide anything, nor supply a figure that the text lacks
+//! beyond a neutral one.
+
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::interface::*;
+
+/// Settings that can't be read; says in a sentence what is wrong.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+#[error("{0}")]
+pub struct Malformed(String);
+
+impl From<String> for Malformed {
+    fn from(what: String) -> Self {
+        Self(what)
+    }
+}
+
+type Parsed<T> = Result<T, Malformed>;
+
+/// Names as indices. Those of the settings come first; a list may bring more zones and kinds.
+#[derive(Debug, Clone)]
+pub struct Names {
+    classes: Vec<String>,
+    tenants: Vec<String>,
+    zones: Vec<String>,
+    kinds: Vec<String>,
+}
+
+/// What the settings say of the ways to clients and servers, which the decisions don't need.
+#[derive(Debug, Clone)]
+pub struct Env {
+    /// Its names.
+    pub names: Names,
+    /// Clock time in milliseconds from which the simulator's positions count.
+    pub zero_ms: f64,
+    /// Whether every answer carries a position.
+    pub positions: bool,
+    /// The values of a load report, in order.
+    pub columns: Vec<String>,
+    /// Servers close a connection that has stood idle for so long.
+    pub conn_idle: Duration,
+}
+
+impl Names {
+    fn of(env: &Value) -> Parsed<Self> {
+        let list = |key: &str, inner: Option<&str>| -> Parsed<Vec<String>> {
+            let items = env.get(key).and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default();
+            let name = |v: &Value| inner.map_or(v.as_str(), |k| v.get(k)?.as_str()).map(str::to_owned);
+            let named = |v| name(v).ok_or_else(|| format!("{key} holds an entry without a name").into());
+            items.iter().map(named).collect()
+        };
+        Ok(Self {
+            classes: list("Classes", Some("Name"))?,
+            tenants: list("Tenants", Some("Name"))?,
+            zones: list("Zones", None)?,
+            kinds: list("Kinds", None)?,
+        })
+    }
+
+    /// The class of a name.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        find(&self.classes, name).map(ClassId)
+    }
+
+    /// The tenant of a name.
+    pub fn tenant(&self, name: &str) -> Option<TenantId> {
+        find(&self.tenants, name).map(TenantId)
+    }
+
+    /// The zone of a name; a new name gets the next number.
+    pub fn zone(&mut self, name: &str) -> ZoneId {
+        ZoneId(intern(&mut self.zones, name))
+    }
+
+    /// The machine kind of a name; a new name gets the next number.
+    pub fn kind(&mut self, name: &str) -> KindId {
+        KindId(intern(&mut self.kinds, name))
+    }
+}
+
+fn find(names: &[String], name: &str) -> Option<usize> {
+    names.iter().position(|n| n == name)
+}
+
+fn intern(names: &mut Vec<String>, name: &str) -> usize {
+    find(names, name).unwrap_or_else(|| {
+        names.push(name.to_owned());
+        names.len() - 1
+    })
+}
+
+/// A time in milliseconds; those before zero count as zero.
+pub fn millis(value: f64, what: &str) -> Parsed<Duration> {
+    Duration::try_from_secs_f64(value.max(0.0) / 1e3).map_err(|_| format!("{what} is not a time").into())
+}
+
+/// A view into the settings object: absent and null take a neutral value.
+struct Object<'v>(&'v Value);
+
+impl Object<'_> {
+    fn sub(&self, key: &str) -> Object<'_> {
+        Object(self.0.get(key).unwrap_or(&Value::Null))
+    }
+    fn num(&self, key: &str, absent: f64) -> Parsed<f64> {
+        match self.0.get(key).filter(|v| !v.is_null()) {
+            Some(value) => value.as_f64().ok_or_else(|| format!("{key} is not a number").into()),
+            None => Ok(absent),
+        }
+    }
+    fn time(&self, key: &str) -> Parsed<Duration> {
+        millis(self.num(key, 0.0)?, key)
+    }
+    fn whole(&self, key: &str, absent: u32) -> Parsed<u32> {
+        let value = self.num(key, f64::from(absent))?;
+        let fits = value >= 0.0 && value <= f64::from(u32::MAX) && value.fract() == 0.0;
+        if fits {
+            Ok(value as u32)
+        } else {
+            Err(format!("{key} is not a whole number").into())
+        }
+    }
+    fn flag(&self, key: &str) -> Parsed<bool> {
+        match self.0.get(key).filter(|v| !v.is_null()) {
+            Some(value) => value.as_bool().ok_or_else(|| format!("{key} is not a bool").into()),
+            None => Ok(false),
+        }
+    }
+    fn text(&self, key: &str) -> &str {
+        self.0.get(key).and_then(Value::as_str).unwrap_or("")
+    }
+    fn list(&self, key: &str) -> &[Value] {
+        self.0.get(key).and_then(Value::as_array).map(Vec::as_slice).unwrap_or_default()
+    }
+}
+
+fn class(object: &Object, place: usize, domain: &Object) -> Parsed<Class> {
+    let window = object.time("WindowMs")?;
+    let effect = match object.text("Effect") {
+        "repeatable" => Effect::Repeatable,
+        "once" => Effect::Once,
+        "by_key" => Effect::Keyed {
+            scope: match object.text("DedupScope") {
+                "all" => DedupScope::All,
+                "zone" => DedupScope::Zone,
+                "cell" => DedupScope::Group,
+                other => return Err(format!("unknown DedupScope {other}").into()),
+            },
+            window,
+        },
+        other => return Err(format!("unknown Effect {other}").into()),
+    };
+    let need = match domain.list("NeedsByClass").get(place).and_then(Value::as_str) {
+        Some("mutate") => Need::Write,
+        Some("strong") => Need::Strong,
+        Some("causal") => Need::Causal,
+        Some("lag_bound") => {
+            let age = domain.list("MaxAgeMs").get(place).and_then(Value::as_f64);
+            Need::Bounded(millis(age.ok_or_else(|| "MaxAgeMs is missing".to_owned())?, "MaxAgeMs")?)
+        }
+        Some("eventual") => Need::Eventual,
+        other => return Err(format!("unknown need {}", other.unwrap_or("(absent)")).into()),
+    };
+    Ok(Class {
+        credit: object.num("Credit", 1.0)?,
+        aim: object.time("OnTimeMs")?,
+        aim_stretch: object.num("AimStretch", 0.0)?,
+        deadline: object.time("DeadlineMs")?,
+        late_value: object.num("LateValue", 0.0)?,
+        effect,
+        need,
+        stream: object.flag("Stream")?,
+    })
+}
+
+/// The settings in a JSON object. Keys that are not known are ignored.
+pub fn read(object: &Value) -> Parsed<(Settings, Env)> {
+    let mut names = Names::of(object)?;
+    let top = Object(object);
+    let (domain, limits, contract, prices) =
+        (top.sub("Domain"), top.sub("Limits"), top.sub("Contract"), top.sub("Prices"));
+    let report = top.sub("Report");
+    let classes = top.list("Classes").iter().enumerate();
+    let tenants = top.list("Tenants").iter().map(Object);
+    let settings = Settings {
+        index: top.whole("Index", 0)?,
+        gateways: top.whole("GroupSize", 1)?,
+        zone: names.zone(top.text("Zone")),
+        tick: top.time("TickMs")?,
+        classes: classes.map(|(i, c)| class(&Object(c), i, &domain)).collect::<Parsed<_>>()?,
+        tenants: tenants
+            .map(|t| Ok(Tenant { quota_per_s: t.num("QuotaPerS", 0.0)?, share: t.num("Share", 0.0)? }))
+            .collect::<Parsed<_>>()?,
+        over_share_worth: top.num("OverShareWorth", 1.0)?,
+        checks: match domain.text("ServerChecks") {
+            "silent" => Checks::Silent,
+            "bounce" => Checks::Bounce,
+            "await" => Checks::Await(domain.time("HoldsForMs")?),
+            other => return Err(format!("unknown ServerChecks {other}").into()),
+        },
+        positions: domain.flag("Positions")?,
+        session_marks: match domain.text("SessionMarks") {
+            "brought" => SessionMarks::Brought,
+            "kept" => SessionMarks::Kept,
+            other => return Err(format!("unknown SessionMarks {other}").into()),
+        },
+        role_column: match domain.text("ShowsRole") {
+            "trailing" => RoleColumn::Trailing,
+            "static" => RoleColumn::Static,
+            _ => RoleColumn::Silent,
+        },
+        reports: match report.text("How") {
+            "piggyback" => Reports::Piggyback,
+            "pull" => Reports::Pull,
+            _ => Reports::Silent,
+        },
+        discovery: match top.text("Discovery") {
+            "subscribe" => Discovery::Subscribe,
+            _ => Discovery::Automatic,
+        },
+        limits: Limits {
+            attempts: limits.whole("AttemptsCap", 1)?,
+            cancel: limits.flag("MayCancel")?,
+            tell: limits.flag("MayTell")?,
+            probes: limits.flag("Probes")?,
+            second_copies: limits.flag("SecondCopies")?,
+            retry_after: limits.flag("RetryAfter")?,
+            max_retry_after: limits.time("MaxRetryAfterMs")?,
+            connect_timeout: limits.time("ConnectTimeoutMs")?,
+            streams_per_connection: limits.whole("StreamsPerConn", 1)?,
+        },
+        contract: Contract {
+            answer_slack: contract.time("AnswerSlackMs")?,
+            ask_every: contract.time("AskEveryMs")?,
+            cold_share: contract.num("ColdShare", 1.0)?,
+            warm_up: contract.time("WarmUpMs")?,
+            overload_factor: contract.num("OverloadFactor", 1.0)?,
+            overload_for: contract.time("OverloadForMs")?,
+            stop_within: contract.time("StopSendingWithinMs")?,
+            only_draining_binds: contract.flag("OnlyDrainingBinds")?,
+        },
+        prices: Prices {
+            cross_zone: prices.num("CrossZone", 0.0)?,
+            probe: prices.num("Probe", 0.0)?,
+            peer: prices.num("Peer", 0.0)?,
+            waste: prices.num("Waste", 0.0)?,
+            late_fail: prices.num("LateFail", 0.0)?,
+        },
+    };
+    let columns = report.list("Columns").iter().filter_map(Value::as_str).map(str::to_owned).collect();
+    let env = Env {
+        names,
+        zero_ms: domain.num("ZeroMs", 0.0)?,
+        positions: settings.positions,
+        columns,
+        conn_idle: limits.time("ConnIdleMs")?,
+    };
+    Ok((settings, env))
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use applevane::interface::*;
-use applevane::Gateway;
+use pipittack::interface::*;
+use pipittack::Gateway;
 
 pub const LOOK: ClassId = ClassId(0);
 pub const OWN: ClassId = ClassId(1);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -2,9 +2,9 @@
 
 mod common;
 
-use applevane::interface::*;
-use applevane::Gateway;
 use common::*;
+use pipittack::interface::*;
+use pipittack::Gateway;
 
 #[test]
 fn reads_go_to_fresh_replicas_and_writes_to_the_primary() {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -4,8 +4,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use applevane::interface::*;
 use common::*;
+use pipittack::interface::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
