Serve real sockets: the proxy around the decision module

The program is one thread of tokio. Clients and data servers meet in the exchange (src/net/exchange.rs), which steps the module at most once a tick and carries out its actions; discovery is watched over HTTP. Statements go on unchanged but for the time that is left, answers are read whole and relayed unchanged.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,13 +1,15 @@
-//! Decisions of a read/write splitter for replicated database clusters, without I/O.
+//! A read/write splitting proxy for replicated database clusters, and the decision module inside it.
 //!
-//! A gateway feeds what it observed to [`Gateway::step`] and carries out the actions that come back. The
-//! types of that exchange are in [`interface`], every decision in [`decide`].
+//! The module does no I/O: a gateway feeds what it observed to [`Gateway::step`] and carries out the actions
+//! that come back. The types of that exchange are in [`interface`], every decision in [`decide`]. The proxy
+//! around it is in [`net`].
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
 pub mod decide;
 mod estimate;
 pub mod interface;
+pub mod net;
 pub mod settings;
 mod state;
 
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,152 @@
+//! The proxy's program: its command line, its runtime, and its signals.
+//!
+//! Owns the start and the end of a run, and how the sockets that a process may hold are shared out. It must
+//! never take part in serving.
+
+mod logger;
+
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+use log::LevelFilter;
+use pipittack::interface::Settings;
+use pipittack::net::buffers::Pool;
+use pipittack::net::clients::{self, Clients};
+use pipittack::net::discovery::{self, Lister};
+use pipittack::net::exchange::{Clock, Exchange};
+use pipittack::net::servers;
+use pipittack::settings::{Config, Env};
+use tokio::signal::unix::{signal, SignalKind};
+use tokio::task::{spawn_local, LocalSet};
+
+/// Descriptors for all that is neither a client nor a data server: standard streams, the listener, discovery,
+/// the runtime's own, and clients that are turned away.
+const RESERVE: usize = 48;
+/// Part of the rest that is for clients.
+const CLIENT_SHARE: f64 = 0.55;
+/// After SIGTERM, time for which new clients still come.
+const FAREWELL: Duration = Duration::from_millis(450);
+/// Time past the longest deadline after which a run that is to end ends.
+const OVERTIME: Duration = Duration::from_millis(500);
+
+#[derive(Parser)]
+#[command(name = "pipittack", version, about)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run the proxy
+    Serve {
+        #[command(flatten)]
+        file: ConfigFile,
+        /// The least important lines to log
+        #[arg(long, env = "GW_LOG", default_value_t = LevelFilter::Info)]
+        log_level: LevelFilter,
+    },
+    /// Read a configuration, say whether it can be served, and stop
+    CheckConfig {
+        #[command(flatten)]
+        file: ConfigFile,
+    },
+    /// Print the version
+    Version,
+}
+
+#[derive(clap::Args)]
+struct ConfigFile {
+    /// The configuration file
+    #[arg(long = "config", env = "GW_CONFIG", value_name = "FILE")]
+    path: PathBuf,
+}
+
+impl ConfigFile {
+    fn read(&self) -> Result<(Config, Settings, Env), String> {
+        let fault = |path: &Path, e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
+        let text = std::fs::read_to_string(&self.path).map_err(|e| fault(&self.path, &e))?;
+        Config::read(&text).map_err(|e| fault(&self.path, &e))
+    }
+}
+
+fn main() -> ExitCode {
+    let done = match Cli::parse().command {
+        Command::Version => {
+            println!("pipittack {}", env!("CARGO_PKG_VERSION"));
+            Ok(())
+        }
+        Command::CheckConfig { file } => file.read().map(|(config, settings, _)| {
+            println!("{}: {} classes, listens at {}", config.name, settings.classes.len(), config.listen);
+        }),
+        Command::Serve { file, log_level } => file.read().and_then(|config| start(config, log_level)),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(fault) => {
+            eprintln!("pipittack: {fault}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start(config: (Config, Settings, Env), log_level: LevelFilter) -> Result<(), String> {
+    logger::install(&config.0.name, log_level);
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
+    LocalSet::new().block_on(&runtime, serve(config))
+}
+
+async fn serve((config, settings, env): (Config, Settings, Env)) -> Result<(), String> {
+    let (clock, pool) = (Clock::start(), Pool::default());
+    let seed = config.seed().map_err(|e| e.to_string())?;
+    let sockets = config.limits.sockets.saturating_sub(RESERVE);
+    let for_clients = (sockets as f64 * CLIENT_SHARE) as usize;
+    let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
+
+    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
+    let listener =
+        clients::listen(config.listen).map_err(|e| format!("can't listen at {}: {e}", config.listen))?;
+
+    let to_servers = servers::Options::new(&settings, &env, sockets - for_clients);
+    let to_clients = clients::Options {
+        clients: for_clients,
+        classes: settings.classes.clone(),
+        names: env.names.clone(),
+    };
+    let (exchange, orders, asks) =
+        Exchange::new(settings, seed, clock).map_err(|e| format!("settings: {e}"))?;
+    let mut lister = Lister::new(env.names, clock);
+    if let Some(known) = config.known {
+        let (view, addresses) = lister.read(known, true);
+        exchange.listed(view, addresses);
+    }
+    let clients = Clients::new(exchange.clone(), to_clients, pool.clone());
+    spawn_local(servers::run(exchange.clone(), orders, to_servers, pool));
+    spawn_local(discovery::run(exchange.clone(), asks, config.discovery, lister));
+    exchange.step();
+    let driver = exchange.clone();
+    spawn_local(async move { driver.run().await });
+    let door = clients.clone();
+    let door = spawn_local(async move { door.run(listener).await });
+    log::info!("serving at {}", config.listen);
+
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    log::info!("told to end; {} requests open", exchange.open_requests());
+    tokio::time::sleep(FAREWELL).await;
+    clients.close();
+    let finished = async {
+        let _ = door.await;
+        clients.gone().await;
+    };
+    if tokio::time::timeout(longest + OVERTIME, finished).await.is_err() {
+        log::warn!("ended with {} requests open", exchange.open_requests());
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/net/buffers.rs
@@ -0,0 +1,163 @@
+//! Buffers of one size, used again from a pool, and chains of them for what is longer than one.
+//!
+//! Owns the memory that bytes on their way through the proxy lie in. It must never grow for a peer that has
+//! not sent anything: a buffer is taken once a socket has bytes to read, and goes back when they are done with.
+
+use std::cell::RefCell;
+use std::io::{self, IoSlice};
+use std::ops::Range;
+use std::rc::Rc;
+
+use tokio::net::TcpStream;
+
+/// Size of each buffer; most statements and answers fit into one.
+pub const SIZE: usize = 8192;
+/// Buffers kept for later use; what comes back beyond that is freed.
+const KEPT: usize = 512;
+
+type Buffer = Box<[u8; SIZE]>;
+
+/// Where buffers come from and go back to.
+#[derive(Clone, Default)]
+pub struct Pool(Rc<RefCell<Vec<Buffer>>>);
+
+impl Pool {
+    /// An empty chain that takes its buffers from here.
+    pub fn chain(&self) -> Chain {
+        Chain { pool: self.clone(), buffers: Vec::new(), len: 0 }
+    }
+
+    /// How many buffers lie unused.
+    pub fn unused(&self) -> usize {
+        self.0.borrow().len()
+    }
+
+    fn take(&self) -> Buffer {
+        self.0.borrow_mut().pop().unwrap_or_else(|| Box::new([0; SIZE]))
+    }
+
+    fn give_back(&self, buffers: impl Iterator<Item = Buffer>) {
+        let mut kept = self.0.borrow_mut();
+        let room = KEPT.saturating_sub(kept.len());
+        kept.extend(buffers.take(room));
+    }
+}
+
+/// Bytes in a row of pooled buffers, all full but the last.
+pub struct Chain {
+    pool: Pool,
+    buffers: Vec<Buffer>,
+    len: usize,
+}
+
+impl Chain {
+    /// How many bytes it holds.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Whether it holds none.
+    pub fn is_empty(&self) -> bool {
+        self.len == 0
+    }
+
+    /// Appends bytes.
+    pub fn extend(&mut self, mut bytes: &[u8]) {
+        while !bytes.is_empty() {
+            let space = self.space();
+            let n = space.len().min(bytes.len());
+            space[..n].copy_from_slice(&bytes[..n]);
+            self.len += n;
+            bytes = &bytes[n..];
+        }
+    }
+
+    /// The bytes of a range, as the pieces they lie in.
+    pub fn pieces(&self, range: Range<usize>) -> impl Iterator<Item = &[u8]> {
+        let Range { start, end } = range.start.min(self.len)..range.end.min(self.len);
+        let buffers = self.buffers.iter().enumerate().skip(start / SIZE);
+        buffers.map_while(move |(i, buffer)| {
+            let (from, to) = (start.max(i * SIZE), end.min((i + 1) * SIZE));
+            (from < to).then(|| &buffer[from - i * SIZE..to - i * SIZE])
+        })
+    }
+
+    /// Copies a range into `to`, which is emptied first.
+    pub fn copy(&self, range: Range<usize>, to: &mut Vec<u8>) {
+        to.clear();
+        self.pieces(range).for_each(|piece| to.extend_from_slice(piece));
+    }
+
+    /// The first bytes as an array, if there are that many from `at` on.
+    pub fn array<const N: usize>(&self, at: usize) -> Option<[u8; N]> {
+        if at + N > self.len {
+            return None;
+        }
+        let mut bytes = self.pieces(at..at + N).flatten();
+        Some(std::array::from_fn(|_| *bytes.next().expect("the range is inside the chain")))
+    }
+
+    /// Takes the first `n` bytes out, as a chain of their own.
+    pub fn split_to(&mut self, n: usize) -> Chain {
+        let mut rest = self.pool.chain();
+        self.pieces(n..self.len).for_each(|piece| rest.extend(piece));
+        self.len = self.len.min(n);
+        self.trim();
+        std::mem::replace(self, rest)
+    }
+
+    /// Waits until there is something to read and reads once; 0 is the end of the stream.
+    pub async fn fill(&mut self, stream: &TcpStream) -> io::Result<usize> {
+        loop {
+            stream.readable().await?;
+            match self.fill_now(stream) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                other => return other,
+            }
+        }
+    }
+
+    /// Reads what is there at once.
+    pub fn fill_now(&mut self, stream: &TcpStream) -> io::Result<usize> {
+        let read = stream.try_read(self.space());
+        self.len += read.as_ref().map_or(0, |n| *n);
+        self.trim();
+        read
+    }
+
+    /// Room behind the last byte.
+    fn space(&mut self) -> &mut [u8] {
+        if self.len == self.buffers.len() * SIZE {
+            self.buffers.push(self.pool.take());
+        }
+        let last = self.buffers.last_mut().expect("a buffer with room was added");
+        &mut last[self.len % SIZE..]
+    }
+
+    /// Gives back the buffers that hold nothing.
+    fn trim(&mut self) {
+        let used = self.len.div_ceil(SIZE);
+        self.pool.give_back(self.buffers.drain(used..));
+    }
+}
+
+impl Drop for Chain {
+    fn drop(&mut self) {
+        self.pool.give_back(self.buffers.drain(..));
+    }
+}
+
+/// Writes all pieces.
+pub async fn write_all(stream: &TcpStream, pieces: &mut [IoSlice<'_>]) -> io::Result<()> {
+    let mut left = pieces;
+    IoSlice::advance_slices(&mut left, 0);
+    while !left.is_empty() {
+        match stream.try_write_vectored(left) {
+            Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
+            Ok(n) => IoSlice::advance_slices(&mut left, n),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => stream.writable().await?,
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/net/discovery.rs
@@ -0,0 +1,335 @@
+//! Discovery: the server list over HTTP/1.1, asked for once or watched.
+//!
+//! Owns the connection to the discovery service and the ids that its servers go by here. It must never judge
+//! a server by what the list says of it; it reads entries, and reports a call or a watch that failed as such.
+
+use std::collections::BTreeMap;
+use std::io::{self, IoSlice};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Deserialize;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::JoinHandle;
+use tokio::time::timeout;
+use winnow::ascii::{crlf, digit1, hex_digit1, space0, space1};
+use winnow::combinator::{preceded, repeat, separated_pair, terminated};
+use winnow::error::ContextError;
+use winnow::prelude::*;
+use winnow::token::{literal, take_till};
+
+use super::buffers::{write_all, Pool};
+use super::exchange::{Ask, Clock};
+use super::servers::PgExchange;
+use crate::interface::*;
+use crate::settings::Names;
+
+/// A line comes every 2 s; without one for so long, the service or the way there is gone.
+const SILENCE_MOST: Duration = Duration::from_secs(5);
+/// The longest head or line that is read.
+const LINE_MOST: usize = 4 << 20;
+
+/// A list, or changes to it, as the service words them.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Listing {
+    /// Version of the list.
+    pub rev: u64,
+    /// It is the whole list.
+    #[serde(default)]
+    pub all: bool,
+    /// The entries.
+    #[serde(default)]
+    pub targets: Vec<Target>,
+}
+
+/// An entry of the list. What a reader can do without may be absent.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Target {
+    /// The server's name, the same at every proxy and over restarts.
+    pub uid: String,
+    /// Where this proxy reaches it.
+    pub endpoint: SocketAddr,
+    #[serde(default)]
+    az: String,
+    #[serde(default)]
+    model: String,
+    #[serde(default)]
+    pod_group: u64,
+    state: String,
+    capacity_hint: Option<f64>,
+    #[serde(default)]
+    boot_ms: f64,
+    mode: Option<String>,
+}
+
+/// Turns listings into views, and knows the ids of servers.
+pub struct Lister {
+    names: Names,
+    clock: Clock,
+    ids: BTreeMap<ServerId, String>,
+    rev: u64,
+}
+
+/// A view, and the addresses of the servers in it.
+pub type Listed = (View, Vec<(ServerId, SocketAddr)>);
+
+impl Lister {
+    /// One that has seen no list yet.
+    pub fn new(names: Names, clock: Clock) -> Self {
+        Self { names, clock, ids: BTreeMap::new(), rev: 0 }
+    }
+
+    /// Reads a listing; `remembered` is for the one of an earlier run.
+    pub fn read(&mut self, listing: Listing, remembered: bool) -> Listed {
+        self.rev = listing.rev;
+        let mut addresses = Vec::new();
+        let mut entries = Vec::new();
+        for target in listing.targets {
+            let server = self.id(&target.uid);
+            addresses.push((server, target.endpoint));
+            entries.push(Entry {
+                server,
+                zone: self.names.zone(&target.az),
+                kind: self.names.kind(&target.model),
+                group: GroupId(target.pod_group),
+                head: target.mode.as_deref() == Some("read-write"),
+                health: match target.state.as_str() {
+                    "Ready" => Health::Healthy,
+                    "Gone" => Health::Gone,
+                    _ => Health::Draining, // nothing new goes to a server in a state that is not known
+                },
+                rating: target.capacity_hint.unwrap_or(1.0),
+                started: Some(target.boot_ms).filter(|ms| *ms > 0.0).map(|ms| self.clock.of_unix_ms(ms)),
+            });
+        }
+        let view = match (remembered, listing.all) {
+            (true, _) => View::Remembered(entries),
+            (false, true) => View::All(entries),
+            (false, false) => View::Changes(entries),
+        };
+        (view, addresses)
+    }
+
+    /// The id of a server: a hash of its name, so that all proxies order servers alike.
+    fn id(&mut self, uid: &str) -> ServerId {
+        let fnv1a = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
+        let mut id = ServerId(uid.bytes().fold(0x811c_9dc5, fnv1a));
+        while self.ids.get(&id).is_some_and(|other| other != uid) {
+            id = ServerId(id.0.wrapping_add(1));
+        }
+        self.ids.entry(id).or_insert_with(|| uid.to_owned());
+        id
+    }
+}
+
+/// Follows what the module asks of discovery until the exchange is gone.
+pub async fn run(
+    exchange: PgExchange,
+    mut asks: UnboundedReceiver<Ask>,
+    service: SocketAddr,
+    lister: Lister,
+) {
+    let lister = std::rc::Rc::new(std::cell::RefCell::new(lister));
+    let mut watch: Option<JoinHandle<()>> = None;
+    while let Some(ask) = asks.recv().await {
+        let (exchange, lister) = (exchange.clone(), lister.clone());
+        let call = move |watch: bool| async move {
+            let from = lister.borrow().rev;
+            let heard = |line: Option<Listing>| {
+                let nothing = || (View::Changes(Vec::new()), Vec::new());
+                let (view, addresses) = line.map_or_else(nothing, |l| lister.borrow_mut().read(l, false));
+                exchange.listed(view, addresses);
+            };
+            let result = if watch { follow(service, from, heard).await } else { fetch(service, heard).await };
+            if let Err(e) = result {
+                log::warn!("discovery {}: {e}", if watch { "watch ended" } else { "call failed" });
+                exchange.listed(View::Refused, []);
+            }
+        };
+        match ask {
+            // Asked again: what runs has not answered, or is not trusted any more.
+            Ask::Watch(on) => {
+                if let Some(old) = watch.take() {
+                    old.abort();
+                }
+                watch = on.then(|| tokio::task::spawn_local(call(true)));
+            }
+            Ask::Fetch => {
+                tokio::task::spawn_local(call(false));
+            }
+        }
+    }
+}
+
+async fn fetch(service: SocketAddr, heard: impl FnOnce(Option<Listing>)) -> io::Result<()> {
+    let mut http = Http::get(service, "/v1/endpoints").await?;
+    let body = http.body().await?;
+    heard(Some(serde_json::from_slice(&body)?));
+    Ok(())
+}
+
+/// Watches until the watch ends, which is always a failure.
+async fn follow(service: SocketAddr, from: u64, heard: impl Fn(Option<Listing>)) -> io::Result<()> {
+    let mut http = Http::get(service, &format!("/v1/endpoints?watch=1&from={from}")).await?;
+    let mut first = true;
+    loop {
+        let line = http.line().await?;
+        if !line.trim_ascii().is_empty() {
+            heard(Some(serde_json::from_slice(&line)?));
+        } else if first {
+            heard(None); // nothing has changed, but the watch stands
+        }
+        first = false;
+    }
+}
+
+/// How the body of a response is framed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// In chunks.
+    Chunked,
+    /// So many bytes.
+    Length(usize),
+    /// Up to the end of the connection.
+    ToEnd,
+}
+
+/// Reads a response's head, without the empty line at its end: its status and how the body is framed.
+pub fn head(mut text: &[u8]) -> Option<(u16, Framing)> {
+    let version = (literal("HTTP/1."), digit1::<_, ContextError>, space1);
+    let line = || terminated(take_till(0.., b'\r'), crlf::<_, ContextError>);
+    let status = preceded(version, digit1.parse_to::<u16>());
+    let name = take_till(1.., (b':', b'\r'));
+    let field = terminated(separated_pair(name, (b':', space0), take_till(0.., b'\r')), crlf);
+    let fields = repeat::<_, _, Vec<(&[u8], &[u8])>, _, _>(0.., field);
+    let ((status, _), fields) = ((status, line()), fields).parse_next(&mut text).ok()?;
+    let value = |name: &str| {
+        let field = fields.iter().find(|(n, _)| n.eq_ignore_ascii_case(name.as_bytes()));
+        field.and_then(|(_, v)| std::str::from_utf8(v).ok()).map(str::trim)
+    };
+    let chunked = value("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked"));
+    let length = value("content-length").map(str::parse);
+    let framing = match length {
+        _ if chunked => Framing::Chunked,
+        Some(length) => Framing::Length(length.ok()?),
+        None => Framing::ToEnd,
+    };
+    text.is_empty().then_some((status, framing))
+}
+
+/// Reads the size line of a chunk, with its line end; extensions are passed over.
+pub fn chunk_size(mut line: &[u8]) -> Option<usize> {
+    let end = (take_till::<_, _, ContextError>(0.., b'\r'), crlf);
+    let digits = terminated(hex_digit1, end).parse_next(&mut line).ok()?;
+    usize::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok().filter(|_| line.is_empty())
+}
+
+/// One response as it is read.
+struct Http {
+    stream: TcpStream,
+    pool: Pool,
+    /// Bytes read that are not used yet, and body bytes taken out of their framing.
+    raw: Vec<u8>,
+    body: Vec<u8>,
+    framing: Framing,
+    /// Left of the present chunk, or of the body.
+    left: usize,
+    done: bool,
+}
+
+impl Http {
+    async fn get(service: SocketAddr, path: &str) -> io::Result<Self> {
+        let stream = timeout(SILENCE_MOST, TcpStream::connect(service)).await??;
+        stream.set_nodelay(true)?;
+        let request = format!("GET {path} HTTP/1.1\r\nHost: {service}\r\nAccept: application/json\r\n\r\n");
+        write_all(&stream, &mut [IoSlice::new(request.as_bytes())]).await?;
+        let (framing, done) = (Framing::ToEnd, false);
+        let mut http =
+            Self { stream, pool: Pool::default(), raw: Vec::new(), body: Vec::new(), framing, left: 0, done };
+        let end = loop {
+            if let Some(end) = find(&http.raw, b"\r\n\r\n") {
+                break end;
+            }
+            http.more().await?;
+        };
+        let head: Vec<u8> = http.raw.drain(..end + 4).take(end + 2).collect();
+        let (status, framing) = self::head(&head).ok_or(io::ErrorKind::InvalidData)?;
+        if status != 200 {
+            return Err(io::Error::other(format!("status {status}")));
+        }
+        http.framing = framing;
+        if let Framing::Length(length) = framing {
+            http.left = length;
+        }
+        http.unframe()?;
+        Ok(http)
+    }
+
+    /// Reads once; silence and the end of the connection are failures.
+    async fn more(&mut self) -> io::Result<()> {
+        let mut chain = self.pool.chain();
+        if timeout(SILENCE_MOST, chain.fill(&self.stream)).await?? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        chain.pieces(0..chain.len()).for_each(|piece| self.raw.extend_from_slice(piece));
+        if self.raw.len() + self.body.len() > LINE_MOST {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        Ok(())
+    }
+
+    /// Takes body bytes out of their framing.
+    fn unframe(&mut self) -> io::Result<()> {
+        loop {
+            let n = match self.framing {
+                Framing::ToEnd => self.raw.len(),
+                _ => self.left.min(self.raw.len()),
+            };
+            self.body.extend(self.raw.drain(..n));
+            if self.framing != Framing::Chunked {
+                self.left -= n.min(self.left);
+                self.done = self.left == 0 && self.framing != Framing::ToEnd;
+                return Ok(());
+            }
+            self.left -= n;
+            // The size line of the next chunk follows the line end of this one's data.
+            let skip = if self.raw.starts_with(b"\r\n") { 2 } else { 0 };
+            let Some(end) = find(&self.raw[skip..], b"\r\n").filter(|_| self.left == 0 && !self.done) else {
+                return Ok(());
+            };
+            let line: Vec<u8> = self.raw.drain(..skip + end + 2).skip(skip).collect();
+            self.left = chunk_size(&line).ok_or(io::ErrorKind::InvalidData)?;
+            self.done = self.left == 0;
+        }
+    }
+
+    async fn body(&mut self) -> io::Result<Vec<u8>> {
+        while !self.done {
+            match self.more().await {
+                Err(e) if e.kind() == io::ErrorKind::UnexpectedEof && self.framing == Framing::ToEnd => break,
+                other => other?,
+            }
+            self.unframe()?;
+        }
+        Ok(std::mem::take(&mut self.body))
+    }
+
+    /// The next line of the body, without its end.
+    async fn line(&mut self) -> io::Result<Vec<u8>> {
+        loop {
+            if let Some(end) = find(&self.body, b"\n") {
+                return Ok(self.body.drain(..=end).take(end).collect());
+            }
+            if self.done {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            self.more().await?;
+            self.unframe()?;
+        }
+    }
+}
+
+fn find(bytes: &[u8], what: &[u8]) -> Option<usize> {
+    bytes.windows(what.len()).position(|w| w == what)
+}
--- /dev/null
+++ b/src/net/exchange.rs
@@ -0,0 +1,427 @@
+//! Where clients and data servers meet: the exchange.
+//!
+//! Owns the decision module, the clock, the requests that are open, the attempts that are out, and the
+//! module's timers. It turns what the two sides report into events, steps the module, and hands its actions
+//! to the sides. It keeps the books that the module relies on: one final answer a request, attempts numbered
+//! in order, none sent for a request that is over, past its deadline or at the attempt limit. It must never
+//! decide anything itself, and never look at a protocol's bytes: queries (`Q`) and answers (`A`) pass through
+//! it unread, so that a second protocol can enter here.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::{oneshot, Notify};
+use tokio::time::Instant;
+
+use crate::interface::*;
+use crate::Gateway;
+
+/// The one clock: Unix time, read once and advanced by the monotonic one. Its zero lies an hour before the
+/// start, so that its seconds are small enough to be exact.
+#[derive(Debug, Clone, Copy)]
+pub struct Clock {
+    start: Instant,
+    zero_ms: f64,
+}
+
+const BEFORE_START: Duration = Duration::from_secs(3600);
+
+impl Clock {
+    /// Reads Unix time.
+    pub fn start() -> Self {
+        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(BEFORE_START);
+        Self { start: Instant::now(), zero_ms: unix.saturating_sub(BEFORE_START).as_secs_f64() * 1e3 }
+    }
+
+    /// Time since the clock's zero.
+    pub fn now(&self) -> Duration {
+        BEFORE_START + self.start.elapsed()
+    }
+
+    /// A time in Unix milliseconds on this clock; what lies before its zero is its zero.
+    pub fn of_unix_ms(&self, ms: f64) -> Duration {
+        Duration::try_from_secs_f64((ms - self.zero_ms).max(0.0) / 1e3).unwrap_or(Duration::ZERO)
+    }
+
+    /// The instant of a time on this clock.
+    fn instant(&self, time: Duration) -> Instant {
+        self.start + time.saturating_sub(BEFORE_START)
+    }
+}
+
+/// The final answer to a request.
+#[derive(Debug, PartialEq)]
+pub enum Final<A> {
+    /// What a data server answered.
+    Served(A),
+    /// Turned away: a retry is harmless, best after this time.
+    Refused(Option<Duration>),
+    /// Failed, with no promise about its effect.
+    Failed,
+}
+
+/// Names an attempt.
+pub type Key = (RequestId, Attempt);
+
+/// What the side of the data servers is to do.
+#[derive(Debug)]
+pub enum Order<Q> {
+    /// Send an attempt.
+    Send(Send<Q>),
+    /// Give an attempt up.
+    Cancel(Key),
+    /// Probe a server.
+    Probe(ServerId),
+    /// Close idle connections to a server.
+    Close(ServerId),
+    /// A server is reached there from now on.
+    Address(ServerId, SocketAddr),
+}
+
+/// An attempt to be sent.
+#[derive(Debug)]
+pub struct Send<Q> {
+    /// Which one.
+    pub key: Key,
+    /// Where to.
+    pub server: ServerId,
+    /// What.
+    pub query: Rc<Q>,
+    /// When it is given up.
+    pub until: Instant,
+    /// After this the server's data may be too old for it: then it must not go out any more.
+    pub fresh_until: Option<Instant>,
+}
+
+/// What is asked of discovery.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ask {
+    /// Follow changes, or stop that.
+    Watch(bool),
+    /// The whole list once.
+    Fetch,
+}
+
+/// How an attempt ended, as the side of the data servers saw it.
+#[derive(Debug)]
+pub struct Ending<A> {
+    /// The outcome.
+    pub outcome: Outcome,
+    /// What the answer said of its server.
+    pub note: Option<Note>,
+    /// The load report that came with it.
+    pub report: Option<Report>,
+    /// The answer, where the outcome is [`Outcome::Ok`].
+    pub answer: Option<A>,
+}
+
+impl<A> Ending<A> {
+    /// An end without an answer.
+    pub fn without_answer(outcome: Outcome) -> Self {
+        Self { outcome, note: None, report: None, answer: None }
+    }
+}
+
+/// A request as the client side hands it in; its id is given here.
+#[derive(Debug, Clone, Default)]
+pub struct Call {
+    /// Its class.
+    pub class: ClassId,
+    /// Its group.
+    pub group: GroupId,
+    /// How long the client waits.
+    pub time_left: Duration,
+    /// A repeat by the client.
+    pub retry: bool,
+    /// The session.
+    pub session: Option<String>,
+    /// The position that it must see, in Unix milliseconds.
+    pub after_unix_ms: Option<f64>,
+}
+
+struct Open<Q, A> {
+    query: Rc<Q>,
+    bound: Option<Duration>,
+    deadline: Duration,
+    attempts: u32,
+    done: oneshot::Sender<Final<A>>,
+}
+
+struct Out {
+    server: ServerId,
+    sent: Duration,
+}
+
+struct Books<Q, A> {
+    gateway: Gateway,
+    events: Vec<Event>,
+    actions: Vec<Action>,
+    open: HashMap<RequestId, Open<Q, A>>,
+    out: HashMap<Key, Out>,
+    timers: BTreeSet<(Duration, TimerId)>,
+    /// Up to when a server is known to have applied all commits; none for a primary, which is at the present.
+    positions: BTreeMap<ServerId, Option<Duration>>,
+    requests: u64,
+}
+
+/// The exchange. Clones share it.
+pub struct Exchange<Q, A>(Rc<Shared<Q, A>>);
+
+struct Shared<Q, A> {
+    clock: Clock,
+    tick: Duration,
+    attempts: u32,
+    bounds: Vec<Option<Duration>>,
+    books: RefCell<Books<Q, A>>,
+    orders: UnboundedSender<Order<Q>>,
+    asks: UnboundedSender<Ask>,
+    news: Notify,
+    served: Cell<u64>,
+}
+
+impl<Q, A> Clone for Exchange<Q, A> {
+    fn clone(&self) -> Self {
+        Self(self.0.clone())
+    }
+}
+
+/// The exchange, with the ends of its channels to the data servers' side and to discovery.
+pub type Parts<Q, A> = (Exchange<Q, A>, UnboundedReceiver<Order<Q>>, UnboundedReceiver<Ask>);
+
+impl<Q, A> Exchange<Q, A> {
+    /// An exchange around a new decision module.
+    pub fn new(settings: Settings, seed: u64, clock: Clock) -> Result<Parts<Q, A>, SettingsError> {
+        let (tick, attempts) = (settings.tick, settings.limits.attempts);
+        let bound = |c: &Class| match c.need {
+            Need::Bounded(age) => Some(age),
+            _ => None,
+        };
+        let bounds = settings.classes.iter().map(bound).collect();
+        let books = Books {
+            gateway: Gateway::new(settings, seed)?,
+            events: Vec::new(),
+            actions: Vec::new(),
+            open: HashMap::new(),
+            out: HashMap::new(),
+            timers: BTreeSet::new(),
+            positions: BTreeMap::new(),
+            requests: 0,
+        };
+        let ((orders, to_servers), (asks, to_discovery)) = (unbounded_channel(), unbounded_channel());
+        let (books, news, served) = (RefCell::new(books), Notify::new(), Cell::new(0));
+        let shared = Shared { clock, tick, attempts, bounds, books, orders, asks, news, served };
+        Ok((Self(Rc::new(shared)), to_servers, to_discovery))
+    }
+
+    /// The clock that all times here are on.
+    pub fn clock(&self) -> Clock {
+        self.0.clock
+    }
+
+    /// Takes a request. The receiver gets its final answer; giving it up goes through [`Self::left`].
+    pub fn open(&self, call: Call, query: Q) -> (RequestId, oneshot::Receiver<Final<A>>) {
+        let now = self.0.clock.now();
+        let (done, answer) = oneshot::channel();
+        let mut books = self.0.books.borrow_mut();
+        books.requests += 1;
+        let id = RequestId(books.requests);
+        let bound = self.0.bounds.get(call.class.0).copied().flatten();
+        let deadline = now + call.time_left;
+        books.open.insert(id, Open { query: Rc::new(query), bound, deadline, attempts: 0, done });
+        let wrote_ago = call.after_unix_ms.map(|ms| now.saturating_sub(self.0.clock.of_unix_ms(ms)));
+        books.events.push(Event::Request(Request {
+            id,
+            class: call.class,
+            group: call.group,
+            tenant: None,
+            time_left: call.time_left,
+            retry: call.retry,
+            cost: None,
+            session: call.session,
+            wrote_ago,
+        }));
+        self.0.news.notify_one();
+        (id, answer)
+    }
+
+    /// The client of a request went away. No answer is owed any more.
+    pub fn left(&self, request: RequestId) {
+        let mut books = self.0.books.borrow_mut();
+        if books.open.remove(&request).is_some() {
+            books.events.push(Event::Left(request));
+            self.0.news.notify_one();
+        }
+    }
+
+    /// An attempt ended. What comes for one that has ended before is dropped.
+    pub fn ended(&self, key: Key, ending: Ending<A>) {
+        let now = self.0.clock.now();
+        let mut books = self.0.books.borrow_mut();
+        let Some(out) = books.out.remove(&key) else { return };
+        if let Some(note) = ending.note {
+            let known = books.positions.get(&out.server).copied().flatten();
+            let replica = note.primary == Some(false);
+            books.positions.insert(out.server, note.position.max(known).filter(|_| replica));
+        }
+        // The first answer goes to the client at once, and ends the request.
+        if let Some(answer) = ending.answer.filter(|_| ending.outcome == Outcome::Ok) {
+            if let Some(open) = books.open.remove(&key.0) {
+                self.0.served.set(self.0.served.get() + 1);
+                let _ = open.done.send(Final::Served(answer));
+            }
+        }
+        let complete = !books.open.contains_key(&key.0);
+        books.events.push(Event::Ended(Ended {
+            request: key.0,
+            attempt: key.1,
+            server: out.server,
+            outcome: ending.outcome,
+            rtt: now.saturating_sub(out.sent),
+            complete,
+            note: ending.note,
+            report: ending.report,
+        }));
+        self.0.news.notify_one();
+    }
+
+    /// A probe ended.
+    pub fn probed(&self, server: ServerId, ok: bool, report: Option<Report>) {
+        self.tell(Event::Probed { server, ok, report });
+    }
+
+    /// Discovery brought news of the list, with the addresses of the servers in it.
+    pub fn listed(&self, view: View, addresses: impl IntoIterator<Item = (ServerId, SocketAddr)>) {
+        for (server, address) in addresses {
+            let _ = self.0.orders.send(Order::Address(server, address));
+        }
+        self.tell(Event::View(view));
+    }
+
+    fn tell(&self, event: Event) {
+        self.0.books.borrow_mut().events.push(event);
+        self.0.news.notify_one();
+    }
+
+    /// Requests that have no final answer yet.
+    pub fn open_requests(&self) -> usize {
+        self.0.books.borrow().open.len()
+    }
+
+    /// Steps the module whenever there is news or a timer is due, at most once a tick. Never returns.
+    pub async fn run(&self) {
+        loop {
+            let timer = self.0.books.borrow().timers.first().map(|(at, _)| self.0.clock.instant(*at));
+            let idle = Instant::now() + Duration::from_secs(1);
+            tokio::select! {
+                () = self.0.news.notified() => {}
+                () = tokio::time::sleep_until(timer.unwrap_or(idle)) => {}
+            }
+            self.step();
+            tokio::time::sleep(self.0.tick).await;
+        }
+    }
+
+    /// One step of the module, and what it asks for.
+    pub fn step(&self) {
+        let now = self.0.clock.now();
+        let mut books = self.0.books.borrow_mut();
+        let books = &mut *books;
+        while let Some((at, id)) = books.timers.first().copied().filter(|(at, _)| *at <= now) {
+            books.timers.remove(&(at, id));
+            books.events.push(Event::Timer(id));
+        }
+        let mut actions = std::mem::take(&mut books.actions);
+        books.gateway.step(now, books.events.drain(..), &mut actions);
+        for action in actions.drain(..) {
+            self.carry_out(now, action, books);
+        }
+        books.actions = actions;
+    }
+
+    fn carry_out(&self, now: Duration, action: Action, books: &mut Books<Q, A>) {
+        let order = match action {
+            Action::Send { request, server, timeout } => {
+                return self.send(now, (request, server, timeout), books);
+            }
+            Action::Refuse { request, retry_after } => {
+                return Self::finish(request, Final::Refused(retry_after), books);
+            }
+            Action::Fail { request } => return Self::finish(request, Final::Failed, books),
+            Action::Cancel { request, attempt } => {
+                let key = (request, attempt);
+                let Some(out) = books.out.remove(&key) else { return };
+                books.events.push(Event::Ended(Ended {
+                    request,
+                    attempt,
+                    server: out.server,
+                    outcome: Outcome::Cancelled,
+                    rtt: now.saturating_sub(out.sent),
+                    complete: !books.open.contains_key(&request),
+                    note: None,
+                    report: None,
+                }));
+                self.0.news.notify_one();
+                Order::Cancel(key)
+            }
+            Action::Probe { server } => Order::Probe(server),
+            Action::Close { server } => Order::Close(server),
+            Action::Watch { on } => {
+                let _ = self.0.asks.send(Ask::Watch(on));
+                return;
+            }
+            Action::Fetch => {
+                let _ = self.0.asks.send(Ask::Fetch);
+                return;
+            }
+            Action::Timer { after, id } => {
+                books.timers.insert((now + after, id));
+                return;
+            }
+            Action::Log(text) => return log::info!("module: {text}"),
+            // Proxies share nothing here; a message to a peer has nowhere to go.
+            Action::Tell { .. } => return,
+        };
+        let _ = self.0.orders.send(order);
+    }
+
+    fn finish(request: RequestId, answer: Final<A>, books: &mut Books<Q, A>) {
+        if let Some(open) = books.open.remove(&request) {
+            let _ = open.done.send(answer);
+        }
+    }
+
+    fn send(
+        &self,
+        now: Duration,
+        (request, server, timeout): (RequestId, ServerId, Duration),
+        books: &mut Books<Q, A>,
+    ) {
+        let Some(open) = books.open.get_mut(&request) else { return };
+        let key = (request, Attempt(open.attempts));
+        open.attempts += 1;
+        let until = (now + timeout).min(open.deadline);
+        if key.1 .0 >= self.0.attempts || until <= now {
+            books.events.push(Event::Ended(Ended {
+                request,
+                attempt: key.1,
+                server,
+                outcome: Outcome::Moot,
+                rtt: Duration::ZERO,
+                complete: false,
+                note: None,
+                report: None,
+            }));
+            return self.0.news.notify_one();
+        }
+        books.out.insert(key, Out { server, sent: now });
+        let known = books.positions.get(&server).copied().flatten();
+        let fresh_until = known.zip(open.bound).map(|(known, bound)| self.0.clock.instant(known + bound));
+        let query = open.query.clone();
+        let until = self.0.clock.instant(until);
+        let _ = self.0.orders.send(Order::Send(Send { key, server, query, until, fresh_until }));
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -4,8 +4,10 @@
 //! simulator's first message alike. It must never decide anything, nor supply a figure that the text lacks
 //! beyond a neutral one.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::Deserialize;
 use serde_json::Value;
 
 use crate::interface::*;
@@ -262,3 +264,63 @@
     };
     Ok((settings, env))
 }
+
+/// What one proxy runs within.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(default)]
+pub struct Bounds {
+    /// Memory in megabytes.
+    pub memory_mb: u64,
+    /// Open file descriptors.
+    pub sockets: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self { memory_mb: 192, sockets: 1024 }
+    }
+}
+
+/// The proxy's configuration file. Keys that are not known are ignored.
+#[derive(Debug, Clone, Deserialize)]
+pub struct Config {
+    /// The proxy's name, for its log.
+    #[serde(default)]
+    pub name: String,
+    /// Where clients connect.
+    pub listen: SocketAddr,
+    /// The discovery service.
+    pub discovery: SocketAddr,
+    /// For random numbers, in hex.
+    pub seed: String,
+    /// What it runs within.
+    #[serde(default)]
+    pub limits: Bounds,
+    /// The server list as an earlier run had it, in discovery's form.
+    #[serde(default)]
+    pub known: Option<crate::net::discovery::Listing>,
+    settings: Value,
+}
+
+impl Config {
+    /// Reads the text of a configuration file, its settings included.
+    pub fn read(text: &str) -> Parsed<(Self, Settings, Env)> {
+        let config: Self = serde_json::from_str(text).map_err(|e| format!("not a configuration: {e}"))?;
+        let (settings, env) = read(&config.settings)?;
+        settings.validate().map_err(|e| e.to_string())?;
+        config.seed()?;
+        if config.limits.sockets < SOCKETS_LEAST {
+            return Err(format!("limits.sockets is under {SOCKETS_LEAST}").into());
+        }
+        Ok((config, settings, env))
+    }
+
+    /// The seed as a number.
+    pub fn seed(&self) -> Parsed<u64> {
+        u64::from_str_radix(&self.seed, 16)
+            .map_err(|_| "seed is not a hex number of 64 bits".to_owned().into())
+    }
+}
+
+/// Descriptors without which a proxy can't do anything useful.
+pub const SOCKETS_LEAST: usize = 64;
