Test the network code, and bound what clients can make it hold

Parsers have tables of cases; each rule has a test with the program itself between scripted peers on loopback; the exchange's books have their own. The scripted peers are shared with a toy that a newcomer can try the proxy with.

Statements and answers are held to 144 KiB, reading ahead to one buffer, and the number of clients to the memory. - The system's limit on descriptors may lie under the configured one: the lower one counts.

--- a/src/main.rs
+++ b/src/main.rs
@@ -12,12 +12,12 @@
 use clap::{Parser, Subcommand};
 use log::LevelFilter;
 use pipittack::interface::Settings;
-use pipittack::net::buffers::Pool;
+use pipittack::net::buffers::{self, Pool};
 use pipittack::net::clients::{self, Clients};
 use pipittack::net::discovery::{self, Lister};
 use pipittack::net::exchange::{Clock, Exchange};
-use pipittack::net::servers;
-use pipittack::settings::{Config, Env};
+use pipittack::net::{pg, servers};
+use pipittack::settings::{Config, Env, SOCKETS_LEAST};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 
@@ -28,8 +28,13 @@
 const CLIENT_SHARE: f64 = 0.55;
 /// After SIGTERM, time for which new clients still come.
 const FAREWELL: Duration = Duration::from_millis(450);
-/// Time past the longest deadline after which a run that is to end ends.
-const OVERTIME: Duration = Duration::from_millis(500);
+/// Time past the longest deadline after which a run that is to end ends. With the farewell it must stay under
+/// the 0.7 s past that deadline at which the platform kills what has not ended.
+const OVERTIME: Duration = Duration::from_millis(150);
+/// Memory that a client may need at the most: a statement and its answer, both of the greatest length.
+const CLIENT_MEMORY: usize = pg::QUERY_MOST + pg::ANSWER_MOST + 2 * buffers::SIZE;
+/// Memory in megabytes for all that is not a client's.
+const MEMORY_RESERVE: u64 = 32;
 
 #[derive(Parser)]
 #[command(name = "pipittack", version, about)]
@@ -102,14 +107,16 @@
 async fn serve((config, settings, env): (Config, Settings, Env)) -> Result<(), String> {
     let (clock, pool) = (Clock::start(), Pool::default());
     let seed = config.seed().map_err(|e| e.to_string())?;
-    let sockets = config.limits.sockets.saturating_sub(RESERVE);
-    let for_clients = (sockets as f64 * CLIENT_SHARE) as usize;
+    let sockets = sockets(config.limits.sockets)?;
+    let memory = config.limits.memory_mb.saturating_sub(MEMORY_RESERVE).max(1) as usize * 1_000_000;
+    let for_clients = ((sockets as f64 * CLIENT_SHARE) as usize).min(memory / CLIENT_MEMORY);
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
 
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
     let listener =
         clients::listen(config.listen).map_err(|e| format!("can't listen at {}: {e}", config.listen))?;
+    let address = listener.local_addr().map_err(|e| format!("can't listen: {e}"))?;
 
     let to_servers = servers::Options::new(&settings, &env, sockets - for_clients);
     let to_clients = clients::Options {
@@ -132,7 +139,7 @@
     spawn_local(async move { driver.run().await });
     let door = clients.clone();
     let door = spawn_local(async move { door.run(listener).await });
-    log::info!("serving at {}", config.listen);
+    log::info!("serving at {address}");
 
     tokio::select! {
         _ = terminate.recv() => {}
@@ -150,3 +157,14 @@
     }
     Ok(())
 }
+
+/// The sockets that are for clients and data servers: what the configuration grants, as far as the system
+/// does as well, less a reserve. Guards against running out of descriptors on the way to a data server.
+fn sockets(granted: usize) -> Result<usize, String> {
+    let got = rlimit::increase_nofile_limit(granted as u64).map_err(|e| format!("no descriptors: {e}"))?;
+    let sockets = granted.min(usize::try_from(got).unwrap_or(granted));
+    if sockets < SOCKETS_LEAST {
+        return Err(format!("the system grants {sockets} descriptors, and {SOCKETS_LEAST} are needed"));
+    }
+    Ok(sockets - RESERVE)
+}
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -4,7 +4,7 @@
 //! answer that comes back, whole and in order. It must never talk to a data server, answer a request by
 //! itself once the exchange has taken it, or let one client's slowness reach another.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,7 +15,7 @@
 use tokio::sync::{watch, Notify};
 use tokio::time::timeout;
 
-use super::buffers::{write_all, Chain, Pool};
+use super::buffers::{self, write_all, Chain, Pool};
 use super::exchange::{Call, Final};
 use super::pg::{self, Severity, Startup};
 use super::servers::{PgExchange, Query};
@@ -31,6 +31,8 @@
 /// Clients over the limit that are told so at the same time.
 const TURNED_AWAY_MOST: usize = 16;
 const BACKLOG: u32 = 1024;
+/// Where the text of a query stands in its message.
+const TEXT_AT: usize = 5;
 
 /// What the side of the clients is set up with.
 pub struct Options {
@@ -46,6 +48,8 @@
     exchange: PgExchange,
     options: Options,
     pool: Pool,
+    /// For texts that must lie in one piece while they are parsed; one for all, so that none is kept idle.
+    scratch: RefCell<Vec<u8>>,
     connected: Cell<usize>,
     left: Notify,
     closing: watch::Sender<bool>,
@@ -67,7 +71,8 @@
     /// A side with no clients yet.
     pub fn new(exchange: PgExchange, options: Options, pool: Pool) -> Self {
         let (connected, left, closing) = (Cell::new(0), Notify::new(), watch::Sender::new(false));
-        Self(Rc::new(Side { exchange, options, pool, connected, left, closing }))
+        let scratch = RefCell::default();
+        Self(Rc::new(Side { exchange, options, pool, scratch, connected, left, closing }))
     }
 
     /// Takes in clients until [`Self::close`]. Must run inside a [`tokio::task::LocalSet`].
@@ -121,7 +126,7 @@
         }
         side.connected.set(side.connected.get() + 1);
         tokio::task::spawn_local(async move {
-            let mut client = Client { inbound: side.pool.chain(), side: &side, stream, scratch: Vec::new() };
+            let mut client = Client { inbound: side.pool.chain(), side: &side, stream };
             if let Err(e) = client.serve(full).await {
                 log::debug!("client connection: {e}");
             }
@@ -136,7 +141,6 @@
     side: &'s Side,
     stream: TcpStream,
     inbound: Chain,
-    scratch: Vec<u8>,
 }
 
 /// Whether a connection goes on.
@@ -181,26 +185,32 @@
         Ok(())
     }
 
+    /// Reads on; false when the client is gone, or when the proxy closes and nothing was begun.
+    async fn more(&mut self) -> io::Result<bool> {
+        let mut closing = self.side.closing.subscribe();
+        let between = self.inbound.is_empty();
+        tokio::select! {
+            biased;
+            read = self.inbound.fill(&self.stream) => Ok(read? > 0),
+            _ = closing.wait_for(|closing| *closing), if between => Ok(false),
+        }
+    }
+
     async fn start(&mut self, full: bool) -> io::Result<Flow> {
         loop {
-            let Some(length) = self.inbound.array::<4>(0).map(|b| u32::from_be_bytes(b) as usize) else {
-                if self.inbound.fill(&self.stream).await? == 0 {
-                    return Ok(Flow::End);
-                }
-                continue;
-            };
-            if !(8..=pg::STARTUP_MOST).contains(&length) {
+            let length = self.inbound.array::<4>(0).map(|b| u32::from_be_bytes(b) as usize);
+            if length.is_some_and(|n| !(8..=pg::STARTUP_MOST).contains(&n)) {
                 return self.expel("08P01", "invalid length of startup packet").await;
             }
-            if self.inbound.len() < length {
-                if self.inbound.fill(&self.stream).await? == 0 {
+            let Some(length) = length.filter(|n| self.inbound.len() >= *n) else {
+                if !self.more().await? {
                     return Ok(Flow::End);
                 }
                 continue;
-            }
+            };
             let packet = self.inbound.split_to(length);
-            packet.copy(4..length, &mut self.scratch);
-            match pg::startup(&self.scratch) {
+            let body: Vec<u8> = packet.pieces(4..length).flatten().copied().collect();
+            match pg::startup(&body) {
                 Some(Startup::Encryption) => self.write(b"N").await?,
                 Some(Startup::Session(_)) if full => {
                     return self.expel("53300", "sorry, too many clients already").await;
@@ -219,7 +229,6 @@
 
     /// The next whole message; none when the client is gone, or when the proxy closes between requests.
     async fn next_message(&mut self) -> io::Result<Option<Chain>> {
-        let mut closing = self.side.closing.subscribe();
         loop {
             if let Some(header) = self.inbound.array(0) {
                 let length = pg::header(header).map(|(_, length)| length).filter(|n| *n <= pg::QUERY_MOST);
@@ -231,22 +240,22 @@
                     return Ok(Some(self.inbound.split_to(length)));
                 }
             }
-            let between = self.inbound.is_empty();
-            tokio::select! {
-                biased;
-                read = self.inbound.fill(&self.stream) => if read? == 0 { return Ok(None) },
-                _ = closing.wait_for(|closing| *closing), if between => return Ok(None),
+            if !self.more().await? {
+                return Ok(None);
             }
         }
     }
 
     async fn query(&mut self, message: Chain) -> io::Result<Flow> {
-        let text = 5..message.len().saturating_sub(1);
-        message.copy(5..message.len(), &mut self.scratch);
-        let Some((0, query)) = self.scratch.split_last() else {
+        let parsed = {
+            let mut scratch = self.side.scratch.borrow_mut();
+            message.copy(TEXT_AT..message.len(), &mut scratch);
+            scratch.split_last().filter(|(end, _)| **end == 0).map(|(_, text)| pg::query(text))
+        };
+        let Some(parsed) = parsed else {
             return self.expel("08P01", "invalid string in message").await;
         };
-        match pg::query(query) {
+        match parsed {
             Some(pg::Query::Empty) => {
                 self.reply(|out| {
                     pg::empty_query(out);
@@ -261,18 +270,13 @@
                 })
                 .await
             }
-            Some(pg::Query::Routed(statement)) => self.request(statement, message, text.start).await,
+            Some(pg::Query::Routed(statement)) => self.request(statement, message).await,
             None => self.reject("42601", "not a statement that this proxy can route").await,
         }
     }
 
     /// Takes a request through the exchange.
-    async fn request(
-        &mut self,
-        statement: pg::Statement,
-        message: Chain,
-        text_at: usize,
-    ) -> io::Result<Flow> {
+    async fn request(&mut self, statement: pg::Statement, message: Chain) -> io::Result<Flow> {
         let options = &self.side.options;
         let Some(id) = options.names.class(&statement.class) else {
             return self.reject("42601", "the statement names no known class").await;
@@ -281,8 +285,8 @@
         if statement.write && class.need != Need::Write {
             return self.reject("42601", "an INSERT in a class that only reads").await;
         }
-        let wait_at =
-            statement.wait.map(|_| statement.wait_at.start + text_at..statement.wait_at.end + text_at);
+        let (from, to) = (statement.wait_at.start + TEXT_AT, statement.wait_at.end + TEXT_AT);
+        let wait_at = statement.wait.map(|_| from..to);
         let call = Call {
             class: id,
             group: GroupId(statement.group),
@@ -293,7 +297,7 @@
         };
         let (request, mut answer) = self.side.exchange.open(call, Query { message, wait_at });
         let answer = loop {
-            let room = self.inbound.len() <= pg::QUERY_MOST;
+            let room = self.inbound.len() < buffers::SIZE;
             tokio::select! {
                 biased;
                 answer = &mut answer => break answer,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -118,7 +118,9 @@
         while self.ids.get(&id).is_some_and(|other| other != uid) {
             id = ServerId(id.0.wrapping_add(1));
         }
-        self.ids.entry(id).or_insert_with(|| uid.to_owned());
+        if self.ids.insert(id, uid.to_owned()).is_none() {
+            log::info!("server {} is {uid}", id.0);
+        }
         id
     }
 }
--- /dev/null
+++ b/tests/exchange.rs
@@ -0,0 +1,120 @@
+//! The exchange's books: what it guarantees to the module and to clients, whatever the sides report.
+
+mod common;
+
+use common::*;
+use pipittack::interface::*;
+use pipittack::net::exchange::{Call, Clock, Ending, Exchange, Final, Key, Order, Parts, Send};
+use tokio::sync::mpsc::UnboundedReceiver;
+
+type Books = Exchange<&'static str, &'static str>;
+
+/// An exchange whose module knows server 1, the primary, and its replicas 2 and 3.
+fn start(clock: Clock) -> (Books, UnboundedReceiver<Order<&'static str>>) {
+    let parts: Parts<_, _> = Exchange::new(settings(), 7, clock).expect("valid settings");
+    let (exchange, orders, _asks) = parts;
+    exchange.listed(View::Remembered(vec![entry(1, true), entry(2, false), entry(3, false)]), []);
+    (exchange, orders)
+}
+
+fn call(class: ClassId) -> Call {
+    Call { class, group: GroupId(1), time_left: ms(2000), ..Call::default() }
+}
+
+/// The next attempt that is to be sent.
+fn sent(orders: &mut UnboundedReceiver<Order<&'static str>>) -> Option<Send<&'static str>> {
+    while let Ok(order) = orders.try_recv() {
+        if let Order::Send(send) = order {
+            return Some(send);
+        }
+    }
+    None
+}
+
+fn told(outcome: Outcome, primary: bool, position: std::time::Duration) -> Ending<&'static str> {
+    let note = Some(Note { position: Some(position), primary: Some(primary) });
+    Ending { outcome, note, report: None, answer: (outcome == Outcome::Ok).then_some("value") }
+}
+
+#[test]
+fn the_first_answer_is_final_and_what_comes_later_is_dropped() {
+    let (exchange, mut orders) = start(Clock::start());
+    let (_, mut answer) = exchange.open(call(POST), "query");
+    exchange.step();
+    let send = sent(&mut orders).expect("an attempt");
+    assert_eq!((*send.query, send.server, send.key.1), ("query", ServerId(1), Attempt(0)));
+    for _ in 0..2 {
+        exchange.ended(send.key, told(Outcome::Ok, true, exchange.clock().now()));
+    }
+    assert_eq!(answer.try_recv(), Ok(Final::Served("value")));
+    assert_eq!(exchange.open_requests(), 0);
+    exchange.step();
+    assert!(sent(&mut orders).is_none());
+}
+
+#[test]
+fn an_end_that_nobody_waits_for_is_dropped() {
+    let (exchange, mut orders) = start(Clock::start());
+    let key: Key = (RequestId(99), Attempt(0));
+    exchange.ended(key, told(Outcome::Ok, true, exchange.clock().now()));
+    exchange.step();
+    assert!(sent(&mut orders).is_none() && exchange.open_requests() == 0);
+}
+
+#[test]
+fn a_client_that_left_is_owed_nothing_and_its_attempt_is_called_off() {
+    let (exchange, mut orders) = start(Clock::start());
+    let (id, mut answer) = exchange.open(call(POST), "query");
+    exchange.step();
+    let send = sent(&mut orders).expect("an attempt");
+    exchange.left(id);
+    exchange.step();
+    assert!(matches!(orders.try_recv(), Ok(Order::Cancel(key)) if key == send.key));
+    assert!(answer.try_recv().is_err());
+}
+
+#[test]
+fn attempts_are_numbered_in_the_order_of_sending() {
+    let (exchange, mut orders) = start(Clock::start());
+    let (_, _answer) = exchange.open(call(LOOK), "query");
+    for expected in 0..2 {
+        exchange.step();
+        let send = sent(&mut orders).expect("an attempt");
+        assert_eq!(send.key.1, Attempt(expected));
+        exchange.ended(send.key, Ending::without_answer(Outcome::ConnectFailed));
+    }
+}
+
+/// A bound on age counts from the send: a replica's attempt must not go out once its last known position is
+/// too old, however long a connection took. A primary stands at the present and has no such limit.
+#[test]
+fn an_attempt_at_a_replica_says_until_when_it_is_fresh() {
+    let clock = Clock::start();
+    let (exchange, mut orders) = start(clock);
+    let (mut at_replica, mut at_primary) = (0, 0);
+    for round in 0..200 {
+        let (_, _answer) = exchange.open(call(if round < 50 { ANY } else { LOOK }), "query");
+        exchange.step();
+        while let Some(send) = sent(&mut orders) {
+            let primary = send.server == ServerId(1);
+            if round >= 50 {
+                (at_primary, at_replica) =
+                    (at_primary + u32::from(primary), at_replica + u32::from(!primary));
+                assert_eq!(send.fresh_until.is_none(), primary);
+            }
+            exchange.ended(send.key, told(Outcome::Ok, primary, clock.now()));
+        }
+    }
+    assert!(at_replica > 0, "{at_replica} reads at replicas, {at_primary} at the primary");
+}
+
+#[test]
+fn positions_keep_their_order_on_the_clock() {
+    let clock = Clock::start();
+    let unix = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).expect("after 1970");
+    let ms = unix.as_millis() as f64;
+    assert!(clock.of_unix_ms(ms) < clock.of_unix_ms(ms + 1.0));
+    assert!(clock.of_unix_ms(ms - 1000.0) < clock.now());
+    assert_eq!(clock.of_unix_ms(0.0), std::time::Duration::ZERO);
+    assert_eq!(clock.of_unix_ms(f64::INFINITY), std::time::Duration::ZERO);
+}
--- /dev/null
+++ b/tests/network.rs
@@ -0,0 +1,315 @@
+//! One test on real sockets for each rule: the program itself between scripted peers, all on loopback.
+
+#[allow(dead_code)] // the toy uses the rest
+#[path = "../examples/toy/peers.rs"]
+mod peers;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+use peers::*;
+use rstest::rstest;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+/// The program under test. It is killed when the test is done with it.
+struct Proxy {
+    child: Child,
+    address: SocketAddr,
+    _discovery: Discovery,
+}
+
+impl Drop for Proxy {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn command(config: &str) -> Command {
+    static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let path = format!("{}/proxy-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::write(&path, config).expect("a writable folder");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_pipittack"));
+    command.arg("serve").env("GW_CONFIG", path).stderr(Stdio::piped());
+    command
+}
+
+/// Starts the program with a list of servers, and waits until it serves and has the list.
+fn start(targets: &[String]) -> Proxy {
+    let discovery = Discovery::start(listing(1, true, targets));
+    let known = format!(r#""known": {}, "settings""#, listing(1, true, targets));
+    let config = include_str!("../examples/config.json")
+        .replace("127.0.0.1:5433", "127.0.0.1:0")
+        .replace("127.0.0.1:8500", &discovery.address.to_string())
+        .replace(r#""settings""#, &known);
+    let mut child = command(&config).spawn().expect("the program starts");
+    let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
+    let address = loop {
+        let line = log.next().expect("a line that says where it serves").expect("UTF-8");
+        if let Some((_, address)) = line.split_once("serving at ") {
+            break address.parse().expect("an address");
+        }
+    };
+    std::thread::spawn(move || log.for_each(drop));
+    Proxy { child, address, _discovery: discovery }
+}
+
+struct Client(TcpStream);
+
+type Answer = Vec<(u8, Vec<u8>)>;
+
+impl Client {
+    fn raw(proxy: &Proxy) -> Self {
+        let stream = TcpStream::connect(proxy.address).expect("it listens");
+        stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+        Self(stream)
+    }
+
+    fn connect(proxy: &Proxy) -> Self {
+        let mut client = Self::raw(proxy);
+        client.send(&startup());
+        assert_eq!(client.answer().last().map(|m| m.0), Some(b'Z'));
+        client
+    }
+
+    fn send(&mut self, bytes: &[u8]) {
+        self.0.write_all(bytes).expect("the proxy reads");
+    }
+
+    /// Messages up to ReadyForQuery or the end of the connection.
+    fn answer(&mut self) -> Answer {
+        let mut messages = Vec::new();
+        while let Some(message) = read_message(&mut self.0) {
+            messages.push(message);
+            if messages.last().is_some_and(|m| m.0 == b'Z') {
+                break;
+            }
+        }
+        messages
+    }
+
+    fn ask(&mut self, text: &str) -> Answer {
+        self.send(&query(text));
+        self.answer()
+    }
+}
+
+fn kinds(answer: &Answer) -> String {
+    answer.iter().filter(|m| m.0 != b'S').map(|m| char::from(m.0)).collect()
+}
+
+/// A field of the ErrorResponse in an answer.
+fn field(answer: &Answer, kind: u8) -> Option<String> {
+    let (_, body) = answer.iter().find(|m| m.0 == b'E')?;
+    let mut fields = body.split(|b| *b == 0).filter(|f| f.first() == Some(&kind));
+    fields.next().map(|f| String::from_utf8_lossy(&f[1..]).into_owned())
+}
+
+fn read(wait_ms: u32) -> String {
+    format!("SELECT body FROM objects WHERE oid = 'k' /* id=1,c=own-changes,d={wait_ms},cluster=1,x=é */")
+}
+
+fn write(wait_ms: u32) -> String {
+    let text = r"INSERT INTO objects (oid, body) VALUES ('k', '\x00') RETURNING body /* id=2,c=usage-write,";
+    format!("{text}d={wait_ms},cluster=1 */")
+}
+
+fn ok(_: &str) -> Say {
+    Say::Row(b"v".to_vec())
+}
+
+#[test]
+fn a_value_comes_back_as_it_is_and_only_d_of_the_statement_changes() {
+    let value: Vec<u8> = (0..65_536u32).map(|i| (i % 251) as u8).collect();
+    let sent = value.clone();
+    let server = DataServer::start(true, move |_| Say::Row(sent.clone()));
+    let proxy = start(&[server.listed("a", "read-write", "Ready")]);
+    let large = read(1000).replace("'k'", &format!("'{}'", "k".repeat(100_000)));
+    for text in [read(1000), large] {
+        let answer = Client::connect(&proxy).ask(&text);
+        assert_eq!(kinds(&answer), "TDCZ");
+        assert!(answer.iter().any(|m| m.0 == b'D' && m.1.ends_with(&value)), "the value is whole");
+        let heard = server.heard.lock().expect("no panic").pop().expect("it was asked");
+        let (before, after) = text.split_once("d=1000").expect("written so");
+        let wait = heard.strip_prefix(before).and_then(|t| t.strip_suffix(after)).expect("else unchanged");
+        let wait: u32 = wait.strip_prefix("d=").and_then(|n| n.parse().ok()).expect("a number");
+        assert!((1..=1000).contains(&wait), "{wait}");
+    }
+}
+
+#[test]
+fn a_query_may_follow_the_startup_packet_at_once_and_another_one_that_query() {
+    let server = DataServer::start(true, ok);
+    let proxy = start(&[server.listed("a", "read-write", "Ready")]);
+    let mut client = Client::raw(&proxy);
+    client.send(&[startup(), query(""), query(&read(1000))].concat());
+    assert_eq!(kinds(&client.answer()), "RZ");
+    assert_eq!(kinds(&client.answer()), "IZ");
+    assert_eq!(kinds(&client.answer()), "TDCZ");
+}
+
+#[test]
+fn a_write_that_may_have_run_is_failed_and_not_sent_again() {
+    let server = DataServer::start(true, |_| Say::Hang);
+    let proxy = start(&[server.listed("a", "read-write", "Ready")]);
+    let answer = Client::connect(&proxy).ask(&write(3000));
+    assert_eq!((kinds(&answer), field(&answer, b'C').as_deref()), ("EZ".into(), Some("08007")));
+    assert_eq!(server.count(), 1);
+}
+
+#[test]
+fn a_write_that_never_ran_goes_to_the_next_server() {
+    let (replica, primary) = (DataServer::start(false, |_| Say::Error("25006")), DataServer::start(true, ok));
+    let proxy = start(&[
+        replica.listed("a", "read-write", "Ready"), // as the list has it, which is late
+        primary.listed("b", "read-only", "Ready"),
+    ]);
+    assert_eq!(kinds(&Client::connect(&proxy).ask(&write(3000))), "TDCZ");
+    assert!(replica.count() > 0);
+    assert_eq!(primary.count(), 1);
+}
+
+#[test]
+fn a_refusal_comes_at_once_and_says_when_to_come_back() {
+    let proxy = start(&[]);
+    let asked = Instant::now();
+    // Too little time is left for an answer in time: the module gives the request up when it sees it.
+    let answer = Client::connect(&proxy).ask(&read(1));
+    assert_eq!((kinds(&answer), field(&answer, b'C').as_deref()), ("EZ".into(), Some("53300")));
+    let hint: u32 = field(&answer, b'D').and_then(|d| d.parse().ok()).expect("a hint");
+    assert!((1..=1000).contains(&hint) && asked.elapsed() < PATIENCE);
+}
+
+#[test]
+fn a_server_that_drains_gets_nothing_new() {
+    let (old, new) = (DataServer::start(true, ok), DataServer::start(true, ok));
+    let proxy = start(&[old.listed("a", "read-write", "Ready"), new.listed("b", "read-only", "Ready")]);
+    let mut client = Client::connect(&proxy);
+    assert_eq!((kinds(&client.ask(&write(3000))), old.count()), ("TDCZ".into(), 1));
+    let changes = [old.listed("a", "read-write", "Terminating"), new.listed("b", "read-write", "Ready")];
+    proxy._discovery.changes.send(listing(2, false, &changes)).expect("it watches");
+    // The news is on its way; once a write has reached the new primary, none may reach the old one.
+    while new.count() == 0 {
+        client.ask(&write(3000));
+    }
+    let before = old.count();
+    (0..10).for_each(|_| drop(client.ask(&write(3000))));
+    assert_eq!(old.count(), before);
+}
+
+#[test]
+fn a_watch_that_ends_is_asked_for_again_from_the_version_in_hand() {
+    let proxy = start(&[]);
+    let asked = || proxy._discovery.asked.recv_timeout(PATIENCE).expect("a call");
+    assert_eq!(asked(), "GET /v1/endpoints?watch=1&from=1 HTTP/1.1");
+    proxy._discovery.changes.send(listing(7, false, &[])).expect("it watches");
+    proxy._discovery.changes.send(String::new()).expect("it watches");
+    assert_eq!(asked(), "GET /v1/endpoints?watch=1&from=7 HTTP/1.1");
+}
+
+#[test]
+fn a_client_that_leaves_ends_its_attempt() {
+    let server = DataServer::start(true, |_| Say::Nothing);
+    let proxy = start(&[server.listed("a", "read-write", "Ready")]);
+    let mut client = Client::connect(&proxy);
+    client.send(&query(&write(3000)));
+    while server.count() == 0 {
+        std::thread::yield_now();
+    }
+    drop(client);
+    server.ended.recv_timeout(PATIENCE).expect("the proxy closes the attempt's connection");
+}
+
+#[test]
+fn a_connection_that_its_server_closed_is_not_used_again() {
+    let server = DataServer::start(true, ok);
+    let proxy = start(&[server.listed("a", "read-write", "Ready")]);
+    let mut client = Client::connect(&proxy);
+    client.ask(&write(3000));
+    server.close_all();
+    server.ended.recv_timeout(PATIENCE).expect("closed");
+    assert_eq!((kinds(&client.ask(&write(3000))), server.count()), ("TDCZ".into(), 2));
+}
+
+#[rstest]
+#[case::no_statement(query("SELECT 1"), "EZ", "42601")]
+#[case::unknown_class(query("SELECT body FROM objects WHERE oid = 'k' /* c=none */"), "EZ", "42601")]
+#[case::insert_in_a_class_that_reads(query(&write(9).replace("usage-write", "own-changes")), "EZ", "42601")]
+#[case::extended_protocol(b"P\0\0\0\x08\0\0\0\0S\0\0\0\x04".to_vec(), "EZ", "0A000")]
+#[case::function_call(b"F\0\0\0\x04".to_vec(), "EZ", "0A000")]
+#[case::unknown_message(b"!\0\0\0\x04".to_vec(), "E", "08P01")]
+#[case::impossible_length(b"Q\0\0\0\x01".to_vec(), "E", "08P01")]
+#[case::too_long(b"Q\x7f\xff\xff\xff".to_vec(), "E", "08P01")]
+#[case::text_without_an_end(b"Q\0\0\0\x05x".to_vec(), "E", "08P01")]
+fn bad_input_gets_its_error_and_reaches_no_server(
+    #[case] bytes: Vec<u8>,
+    #[case] shape: &str,
+    #[case] code: &str,
+) {
+    let server = DataServer::start(true, ok);
+    let proxy = start(&[server.listed("a", "read-write", "Ready")]);
+    let mut client = Client::connect(&proxy);
+    client.send(&bytes);
+    let answer = client.answer();
+    assert_eq!((kinds(&answer).as_str(), field(&answer, b'C').as_deref()), (shape, Some(code)));
+    assert_eq!(server.count(), 0);
+    assert_eq!(kinds(&Client::connect(&proxy).ask(&read(1000))), "TDCZ", "others are served on");
+}
+
+#[test]
+fn encryption_is_declined_and_a_cancel_is_closed() {
+    let proxy = start(&[]);
+    let mut client = Client::raw(&proxy);
+    client.send(&[0, 0, 0, 8, 4, 210, 22, 47]);
+    let mut no = [0];
+    client.0.read_exact(&mut no).expect("an answer");
+    assert_eq!(&no, b"N");
+    client.send(&startup());
+    assert_eq!(kinds(&client.answer()), "RZ");
+    let mut client = Client::raw(&proxy);
+    client.send(&[0, 0, 0, 16, 4, 210, 22, 46, 0, 0, 0, 1, 0, 0, 0, 2]);
+    assert_eq!(client.0.read(&mut no).expect("a clean end"), 0);
+}
+
+#[test]
+fn a_proxy_that_is_told_to_end_finishes_what_it_took() {
+    let (tell, go) = std::sync::mpsc::channel::<()>();
+    let go = std::sync::Mutex::new(go);
+    let server = DataServer::start(true, move |_| {
+        let _ = go.lock().expect("no panic").recv_timeout(PATIENCE);
+        Say::Row(b"v".to_vec())
+    });
+    let mut proxy = start(&[server.listed("a", "read-write", "Ready")]);
+    let (mut busy, mut idle) = (Client::connect(&proxy), Client::connect(&proxy));
+    busy.send(&query(&write(3000)));
+    while server.count() == 0 {
+        std::thread::yield_now();
+    }
+    let told = Command::new("kill").arg(proxy.child.id().to_string()).status().expect("kill runs");
+    assert!(told.success());
+    assert_eq!(idle.0.read(&mut [0]).expect("a clean end"), 0, "closed between requests");
+    tell.send(()).expect("the server waits");
+    assert_eq!(kinds(&busy.answer()), "TDCZ");
+    assert_eq!(busy.0.read(&mut [0]).expect("a clean end"), 0);
+    assert!(proxy.child.wait().expect("it ends").success());
+}
+
+#[rstest]
+#[case::not_json("{", "not a configuration")]
+#[case::no_settings(
+    r#"{"listen":"127.0.0.1:0","discovery":"127.0.0.1:1","seed":"1"}"#,
+    "missing field `settings`"
+)]
+#[case::bad_address(&include_str!("../examples/config.json").replace("127.0.0.1:5433", "here"), "socket address")]
+#[case::bad_seed(&include_str!("../examples/config.json").replace("8c1f30d27a5be964", "seed"), "seed")]
+#[case::bad_figure(&include_str!("../examples/config.json").replace("0.27", "7"), "cold share")]
+#[case::no_sockets(&include_str!("../examples/config.json").replace("1024", "8"), "limits.sockets")]
+fn a_configuration_that_cannot_work_is_one_plain_line(#[case] config: &str, #[case] what: &str) {
+    let output = command(config).output().expect("the program runs");
+    let said = String::from_utf8_lossy(&output.stderr);
+    assert!(!output.status.success() && said.lines().count() == 1 && said.contains(what), "{said}");
+}
--- /dev/null
+++ b/tests/parsers.rs
@@ -0,0 +1,146 @@
+//! Tables of cases for the parsers of the network code.
+
+use std::time::Duration;
+
+use pipittack::net::discovery::{chunk_size, head, Framing};
+use pipittack::net::pg::{self, Query, Startup};
+use rstest::rstest;
+
+fn routed(text: &str) -> Option<pg::Statement> {
+    match pg::query(text.as_bytes()) {
+        Some(Query::Routed(statement)) => Some(statement),
+        _ => None,
+    }
+}
+
+#[rstest]
+#[case::read(
+    "SELECT body FROM objects WHERE oid = 'k1' /* id=9b,c=basket,d=480,cluster=2,after=1767225600123 */"
+)]
+#[case::spacing(
+    "  select body\nfrom objects where oid='k1'/*id=9b,c=basket, d=480,cluster=2,after=1767225600123*/ ; "
+)]
+fn a_read_tells_its_class_group_wait_and_position(#[case] text: &str) {
+    let s = routed(text).expect("a statement");
+    assert_eq!((s.write, &*s.key, &*s.class, s.group, s.retry), (false, "k1", "basket", 2, false));
+    assert_eq!((s.wait, s.after), (Some(Duration::from_millis(480)), Some(1_767_225_600_123.0)));
+    assert_eq!(&text[s.wait_at], "480");
+}
+
+#[rstest]
+#[case::plain(r"INSERT INTO objects (oid, body) VALUES ('k', '\x9f03') RETURNING body /* id=1,c=o,d=48,cluster=2,r=1 */", "k")]
+#[case::doubled_quote(
+    r"INSERT INTO objects (oid, body) VALUES ('a''b', '\x') RETURNING body /* c=o,d=48,cluster=2,r=1 */",
+    "a''b"
+)]
+#[case::comment_in_a_key(
+    r"INSERT INTO objects(oid,body)VALUES('/*d=1*/','\x')RETURNING body/*c=o,d=48,cluster=2,r=1*/",
+    "/*d=1*/"
+)]
+fn a_write_tells_its_key_and_that_it_repeats(#[case] text: &str, #[case] key: &str) {
+    let s = routed(text).expect("a statement");
+    assert_eq!((s.write, &*s.key, &*s.class, s.group, s.retry), (true, key, "o", 2, true));
+    assert_eq!(&text[s.wait_at], "48");
+}
+
+#[rstest]
+#[case::other_statement("SELECT 1")]
+#[case::two_statements("SELECT body FROM objects WHERE oid = 'k' /* c=a */; SELECT 1")]
+#[case::no_comment("SELECT body FROM objects WHERE oid = 'k'")]
+#[case::open_quote("SELECT body FROM objects WHERE oid = 'k /* c=a */")]
+#[case::wait_is_no_number("SELECT body FROM objects WHERE oid = 'k' /* c=a,d=soon */")]
+#[case::wait_is_too_large("SELECT body FROM objects WHERE oid = 'k' /* c=a,d=99999999999999999999999 */")]
+#[case::position_is_not_finite("SELECT body FROM objects WHERE oid = 'k' /* c=a,after=inf */")]
+#[case::negative_group("SELECT body FROM objects WHERE oid = 'k' /* c=a,cluster=-1 */")]
+#[case::transaction("BEGIN")]
+#[case::word_that_starts_alike("SETTLE x")]
+fn what_cannot_be_routed_is_not_a_query(#[case] text: &str) {
+    assert_eq!(pg::query(text.as_bytes()), None);
+}
+
+#[rstest]
+#[case("", Query::Empty)]
+#[case(" ; \n;", Query::Empty)]
+#[case("set application_name = 'x'", Query::Setting("SET"))]
+#[case("DISCARD ALL", Query::Setting("DISCARD"))]
+fn what_needs_no_server_is_told_apart(#[case] text: &str, #[case] query: Query) {
+    assert_eq!(pg::query(text.as_bytes()), Some(query));
+}
+
+#[rstest]
+#[case(&[0, 3, 0, 0], Some(Startup::Session(0)))]
+#[case(&[0, 3, 0, 2], Some(Startup::Session(2)))]
+#[case(&[4, 210, 22, 47], Some(Startup::Encryption))]
+#[case(&[4, 210, 22, 48], Some(Startup::Encryption))]
+#[case(&[4, 210, 22, 46, 0, 0, 0, 1], Some(Startup::Cancel))]
+#[case(&[0, 2, 0, 0], Some(Startup::Unsupported(131_072)))]
+#[case(&[0, 3], None)]
+fn a_startup_packet_tells_what_it_opens(#[case] body: &[u8], #[case] startup: Option<Startup>) {
+    assert_eq!(pg::startup(body), startup);
+}
+
+#[rstest]
+#[case([b'Q', 0, 0, 0, 5], Some((b'Q', 6)))]
+#[case([b'Q', 0, 0, 0, 3], None)]
+#[case([b'Q', 255, 255, 255, 255], Some((b'Q', 4_294_967_296)))]
+fn a_header_gives_the_length_of_the_whole_message(
+    #[case] bytes: [u8; 5],
+    #[case] header: Option<(u8, usize)>,
+) {
+    assert_eq!(pg::header(bytes), header);
+}
+
+#[rstest]
+#[case(b"SERROR\0C53300\0Mfull\0\0", Some(*b"53300"))]
+#[case(b"SERROR\0Mno code\0\0", None)]
+#[case(b"SERROR\0C5330\0\0", None)]
+#[case(b"C53300", None)]
+#[case(b"", None)]
+fn an_error_tells_its_code(#[case] body: &[u8], #[case] code: Option<[u8; 5]>) {
+    assert_eq!(pg::sqlstate(body), code);
+}
+
+#[rstest]
+#[case(b"mode\0read-only\0", Some(("mode", "read-only")))]
+#[case(b"mode\0read-only", None)]
+#[case(b"mode", None)]
+fn a_parameter_is_a_pair_of_strings(#[case] body: &[u8], #[case] pair: Option<(&str, &str)>) {
+    let pair = pair.map(|(name, value)| (name.to_owned(), value.to_owned()));
+    assert_eq!(pg::parameter(body), pair);
+}
+
+#[rstest]
+#[case("inflight=7,util=0.61", &[("inflight", 7.0), ("util", 0.61)])]
+#[case("inflight=,x,util = 1", &[("util", 1.0)])]
+#[case("", &[])]
+fn a_load_report_is_a_row_of_figures(#[case] text: &str, #[case] pairs: &[(&str, f64)]) {
+    assert_eq!(pg::load_report(text), pairs);
+}
+
+#[rstest]
+#[case(&[0, 1, 0, 0, 0, 2, b'o', b'k'], Some(&b"ok"[..]))]
+#[case(&[0, 1, 255, 255, 255, 255], None)]
+#[case(&[0, 1, 0, 0, 0, 9, b'o'], None)]
+fn the_only_column_is_read_by_its_length(#[case] body: &[u8], #[case] column: Option<&[u8]>) {
+    assert_eq!(pg::only_column(body), column);
+}
+
+#[rstest]
+#[case("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n", Some((200, Framing::Chunked)))]
+#[case("HTTP/1.1 503 Service Unavailable\r\ncontent-length:0\r\n", Some((503, Framing::Length(0))))]
+#[case("HTTP/1.0 200\r\n", Some((200, Framing::ToEnd)))]
+#[case("HTTP/1.1 200 \r\n", Some((200, Framing::ToEnd)))]
+#[case("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n", None)]
+#[case("SSH-2.0-x\r\n", None)]
+fn a_response_head_tells_status_and_framing(#[case] text: &str, #[case] read: Option<(u16, Framing)>) {
+    assert_eq!(head(text.as_bytes()), read);
+}
+
+#[rstest]
+#[case(b"1f\r\n", Some(31))]
+#[case(b"0;last\r\n", Some(0))]
+#[case(b"\r\n", None)]
+#[case(b"ffffffffffffffffff\r\n", None)]
+fn a_chunk_starts_with_its_size_in_hex(#[case] line: &[u8], #[case] size: Option<usize>) {
+    assert_eq!(chunk_size(line), size);
+}
