--- a/src/main.rs
+++ b/src/main.rs
@@ -101,7 +101,9 @@
     logger::install(&config.0.name, log_level);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
-    LocalSet::new().block_on(&runtime, serve(config))
+    let done = LocalSet::new().block_on(&runtime, serve(config));
+    log::logger().flush();
+    done
 }
 
 async fn serve((config, settings, env): (Config, Settings, Env)) -> Result<(), String> {
