Take an answer that ends with its connection for whole; notice a silent watch sooner

A server may close after any answer. A watch counts as broken after 3.5 s of silence, 5 s before: what discovery has to tell counts as told after 6 s.

--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -25,8 +25,11 @@
 use crate::interface::*;
 use crate::settings::Names;
 
-/// A line comes every 2 s; without one for so long, the service or the way there is gone.
-const SILENCE_MOST: Duration = Duration::from_secs(5);
+/// A line comes every 2 s; without one for so long, the service or the way there is gone. What the service
+/// would have told counts as told 6 s later, so there must be time left to ask again.
+const SILENCE_MOST: Duration = Duration::from_millis(3500);
+/// Time within which a connection must be up.
+const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 /// The longest head or line that is read.
 const LINE_MOST: usize = 4 << 20;
 
@@ -242,7 +245,7 @@
 
 impl Http {
     async fn get(service: SocketAddr, path: &str) -> io::Result<Self> {
-        let stream = timeout(SILENCE_MOST, TcpStream::connect(service)).await??;
+        let stream = timeout(CONNECT_WITHIN, TcpStream::connect(service)).await??;
         stream.set_nodelay(true)?;
         let request = format!("GET {path} HTTP/1.1\r\nHost: {service}\r\nAccept: application/json\r\n\r\n");
         write_all(&stream, &mut [IoSlice::new(request.as_bytes())]).await?;
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -277,7 +277,7 @@
         }
     }
 
-    /// Reads up to ReadyForQuery, or up to the end of the connection after an error.
+    /// Reads up to ReadyForQuery. A server may close after its answer: then the connection's end will do.
     async fn reply(&self, stream: &TcpStream) -> io::Result<Reply> {
         let mut reply = Reply::new(self.pool.chain());
         loop {
@@ -285,7 +285,7 @@
                 return Ok(reply);
             }
             if reply.bytes.fill(stream).await? == 0 {
-                let told = reply.code.is_some();
+                let told = reply.code.is_some() || reply.served();
                 return told.then_some(reply).ok_or(io::ErrorKind::UnexpectedEof.into());
             }
         }
@@ -375,6 +375,11 @@
         Ok(false)
     }
 
+    /// Whether it is a value, whole.
+    fn served(&self) -> bool {
+        self.row.is_some() && self.complete && self.code.is_none()
+    }
+
     fn parameter(&mut self, body: Range<usize>) {
         self.bytes.copy(body, &mut self.scratch);
         let Some((name, value)) = pg::parameter(&self.scratch) else { return };
@@ -388,9 +393,9 @@
     }
 
     /// What it means for the attempt.
-    fn ending(self, clock: Clock) -> Ending<Answer> {
+    fn ending(mut self, clock: Clock) -> Ending<Answer> {
         let outcome = match self.code.as_ref() {
-            None if self.row.is_some() && self.complete && self.ready => Outcome::Ok,
+            None if self.served() => Outcome::Ok,
             Some(b"25006" | b"72000") => Outcome::Miss,
             Some(b"53300") => Outcome::Full,
             _ => Outcome::Error,
@@ -399,6 +404,13 @@
         let heard = position.is_some() || self.primary.is_some();
         let note = heard.then_some(Note { position, primary: self.primary });
         let report = self.stats.as_deref().map(|text| report(text, clock));
+        if !self.ready {
+            // The connection ended after CommandComplete, or in the middle of what follows it.
+            self.bytes = self.bytes.split_to(self.at);
+            let mut ready = Vec::new();
+            pg::ready(&mut ready);
+            self.bytes.extend(&ready);
+        }
         Ending { outcome, note, report, answer: (outcome == Outcome::Ok).then_some(Answer(self.bytes)) }
     }
 
