--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -145,7 +145,9 @@
 
 struct Open<Q, A> {
     query: Rc<Q>,
+    class: ClassId,
     bound: Option<Duration>,
+    taken: Duration,
     deadline: Duration,
     attempts: u32,
     done: oneshot::Sender<Final<A>>,
@@ -231,7 +233,8 @@
         let id = RequestId(books.requests);
         let bound = self.0.bounds.get(call.class.0).copied().flatten();
         let deadline = now + call.time_left;
-        books.open.insert(id, Open { query: Rc::new(query), bound, deadline, attempts: 0, done });
+        let (class, query) = (call.class, Rc::new(query));
+        books.open.insert(id, Open { query, class, bound, taken: now, deadline, attempts: 0, done });
         let wrote_ago = call.after_unix_ms.map(|ms| now.saturating_sub(self.0.clock.of_unix_ms(ms)));
         books.events.push(Event::Request(Request {
             id,
@@ -348,9 +351,9 @@
                 return self.send(now, (request, server, timeout), books);
             }
             Action::Refuse { request, retry_after } => {
-                return Self::finish(request, Final::Refused(retry_after), books);
+                return Self::finish(now, request, Final::Refused(retry_after), books);
             }
-            Action::Fail { request } => return Self::finish(request, Final::Failed, books),
+            Action::Fail { request } => return Self::finish(now, request, Final::Failed, books),
             Action::Cancel { request, attempt } => {
                 let key = (request, attempt);
                 let Some(out) = books.out.remove(&key) else { return };
@@ -388,10 +391,15 @@
         let _ = self.0.orders.send(order);
     }
 
-    fn finish(request: RequestId, answer: Final<A>, books: &mut Books<Q, A>) {
-        if let Some(open) = books.open.remove(&request) {
-            let _ = open.done.send(answer);
-        }
+    /// Gives the final answer that the module has decided on, at once.
+    fn finish(now: Duration, request: RequestId, answer: Final<A>, books: &mut Books<Q, A>) {
+        let Some(open) = books.open.remove(&request) else { return };
+        let word = if matches!(answer, Final::Failed) { "failed" } else { "refused" };
+        let waited = now.saturating_sub(open.taken).as_millis();
+        let wait = open.deadline.saturating_sub(open.taken).as_millis();
+        let (class, sends) = (open.class.0, open.attempts);
+        log::debug!("{word} a request of class {class} after {waited} of {wait} ms and {sends} attempts");
+        let _ = open.done.send(answer);
     }
 
     fn send(
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -647,3 +647,44 @@
     b.pass(ms(200));
     assert_eq!(targets(&b.call(OWN)), [1], "the replicas are seconds behind the session's write");
 }
+
+/// Guards against holding a write that has nowhere to go until its client has given up: on real sockets a
+/// request that is refused after half its time without an attempt costs a part of its worth.
+#[test]
+fn a_write_without_a_primary_is_refused_before_half_its_time_and_told_when_to_come_back() {
+    let mut b = Bench::new(settings());
+    for _ in 0..20 {
+        b.call(POST);
+        while !b.sent.is_empty() {
+            b.end(Outcome::ConnectFailed, None, ms(0));
+        }
+        b.now += ms(200);
+    }
+    let write = b.request(POST);
+    let id = write.id;
+    assert!(targets(&b.step(vec![Event::Request(write)])).is_empty());
+    let mut hint = None;
+    let mut waited = ms(0);
+    while hint.is_none() && waited < ms(2000) {
+        waited += ms(20);
+        for action in b.pass(ms(20)) {
+            match action {
+                Action::Refuse { request, retry_after } if request == id => hint = retry_after,
+                Action::Send { .. } => {
+                    b.end(Outcome::ConnectFailed, None, ms(0));
+                }
+                _ => {}
+            }
+        }
+    }
+    assert!(waited < ms(1000) && waited > ms(500), "{waited:?}");
+    assert!(hint.is_some_and(|h| h > ms(0)));
+}
+
+#[test]
+fn a_write_that_waits_for_room_at_its_primary_is_held_on() {
+    let mut b = Bench::new(settings());
+    while !targets(&b.call(POST)).is_empty() {}
+    let actions = b.pass(ms(1200));
+    assert_eq!((refusals(&actions), failures(&actions)), (0, 0));
+}
