Test the client limit and the buffer chains; drop a counter that nothing read

A client over the limit is told 53300 and takes no place, and a place that is left is given again (real sockets, 64 descriptors). Chains keep their bytes over any split and give all buffers back.

--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -7,7 +7,7 @@
 //! decide anything itself, and never look at a protocol's bytes: queries (`Q`) and answers (`A`) pass through
 //! it unread, so that a second protocol can enter here.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -182,7 +182,6 @@
     orders: UnboundedSender<Order<Q>>,
     asks: UnboundedSender<Ask>,
     news: Notify,
-    served: Cell<u64>,
 }
 
 impl<Q, A> Clone for Exchange<Q, A> {
@@ -214,8 +213,8 @@
             requests: 0,
         };
         let ((orders, to_servers), (asks, to_discovery)) = (unbounded_channel(), unbounded_channel());
-        let (books, news, served) = (RefCell::new(books), Notify::new(), Cell::new(0));
-        let shared = Shared { clock, tick, attempts, bounds, books, orders, asks, news, served };
+        let (books, news) = (RefCell::new(books), Notify::new());
+        let shared = Shared { clock, tick, attempts, bounds, books, orders, asks, news };
         Ok((Self(Rc::new(shared)), to_servers, to_discovery))
     }
 
@@ -273,7 +272,6 @@
         // The first answer goes to the client at once, and ends the request.
         if let Some(answer) = ending.answer.filter(|_| ending.outcome == Outcome::Ok) {
             if let Some(open) = books.open.remove(&key.0) {
-                self.0.served.set(self.0.served.get() + 1);
                 let _ = open.done.send(Final::Served(answer));
             }
         }
--- a/tests/network.rs
+++ b/tests/network.rs
@@ -40,11 +40,17 @@
 
 /// Starts the program with a list of servers, and waits until it serves and has the list.
 fn start(targets: &[String]) -> Proxy {
+    start_within(1024, targets)
+}
+
+/// The same with so many descriptors.
+fn start_within(sockets: u32, targets: &[String]) -> Proxy {
     let discovery = Discovery::start(listing(1, true, targets));
     let known = format!(r#""known": {}, "settings""#, listing(1, true, targets));
     let config = include_str!("../examples/config.json")
         .replace("127.0.0.1:5433", "127.0.0.1:0")
         .replace("127.0.0.1:8500", &discovery.address.to_string())
+        .replace("1024", &sockets.to_string())
         .replace(r#""settings""#, &known);
     let mut child = command(&config).spawn().expect("the program starts");
     let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
@@ -300,6 +306,35 @@
     assert_eq!(kinds(&Client::connect(&proxy).ask(&read(1000))), "TDCZ", "others are served on");
 }
 
+#[test]
+fn clients_over_the_limit_are_told_so_and_take_no_place() {
+    let server = DataServer::start(true, ok);
+    let proxy = start_within(64, &[server.listed("a", "read-write", "Ready")]);
+    let greet = || {
+        let mut client = Client::raw(&proxy);
+        client.send(&startup());
+        let answer = client.answer();
+        (client, answer)
+    };
+    let mut clients = Vec::new();
+    let refused = loop {
+        let (client, answer) = greet();
+        if kinds(&answer) != "RZ" {
+            break answer;
+        }
+        clients.push(client);
+        assert!(clients.len() < 64, "more clients than descriptors");
+    };
+    assert_eq!((kinds(&refused).as_str(), field(&refused, b'C').as_deref()), ("E", Some("53300")));
+    let first = clients.first_mut().expect("there is room for some");
+    assert_eq!(kinds(&first.ask(&read(1000))), "TDCZ", "those who are in are served");
+    clients.pop();
+    let since = Instant::now();
+    while kinds(&greet().1) != "RZ" {
+        assert!(since.elapsed() < PATIENCE, "the place that was left is given again");
+    }
+}
+
 #[test]
 fn encryption_is_declined_and_a_cancel_is_closed() {
     let proxy = start(&[]);
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use pipittack::net::buffers::{Pool, SIZE};
 use pipittack::net::discovery::{chunk_size, head, Framing};
 use pipittack::net::pg::{self, Query, Startup};
 use rstest::rstest;
@@ -144,3 +145,25 @@
 fn a_chunk_starts_with_its_size_in_hex(#[case] line: &[u8], #[case] size: Option<usize>) {
     assert_eq!(chunk_size(line), size);
 }
+
+#[rstest]
+#[case::nothing(0, 0)]
+#[case::within_a_buffer(100, 40)]
+#[case::at_its_end(SIZE, SIZE)]
+#[case::over_several(3 * SIZE + 7, SIZE + 1)]
+#[case::past_the_end(10, 20)]
+fn a_chain_keeps_its_bytes_and_gives_its_buffers_back(#[case] length: usize, #[case] at: usize) {
+    let bytes: Vec<u8> = (0..length).map(|i| (i % 251) as u8).collect();
+    let pool = Pool::default();
+    let mut rest = pool.chain();
+    rest.extend(&bytes);
+    let first = rest.split_to(at);
+    let (mut head, mut tail) = (Vec::new(), Vec::new());
+    first.copy(0..first.len(), &mut head);
+    rest.copy(0..rest.len(), &mut tail);
+    assert_eq!((head.len(), [head, tail].concat()), (at.min(length), bytes));
+    let held = first.len().div_ceil(SIZE) + rest.len().div_ceil(SIZE);
+    let before = pool.unused();
+    drop((first, rest));
+    assert_eq!(pool.unused(), before + held);
+}
