--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -30,8 +30,6 @@
 const LINGER: Duration = Duration::from_secs(1);
 /// Clients over the limit that are told so at the same time.
 const TURNED_AWAY_MOST: usize = 16;
-/// The longest that a request is worked on, whatever its client says: times beyond all sense overflow.
-const WAIT_MOST: Duration = Duration::from_secs(3600);
 const BACKLOG: u32 = 1024;
 /// Where the text of a query stands in its message.
 const TEXT_AT: usize = 5;
@@ -292,7 +290,7 @@
         let call = Call {
             class: id,
             group: GroupId(statement.group),
-            time_left: statement.wait.unwrap_or(class.deadline).min(WAIT_MOST),
+            time_left: statement.wait.unwrap_or(class.deadline),
             retry: statement.retry,
             session: matches!(class.need, Need::Write | Need::Causal).then_some(statement.key),
             after_unix_ms: statement.after,
--- a/tests/network.rs
+++ b/tests/network.rs
@@ -169,7 +169,7 @@
     }
 }
 
-/// Guards against a client's figure that no clock can be advanced by.
+/// The largest figure that a client can write must pass through every sum of times without overflow.
 #[test]
 fn a_wait_beyond_all_sense_is_served() {
     let server = DataServer::start(true, ok);
