--- a/examples/toy/peers.rs
+++ b/examples/toy/peers.rs
@@ -15,6 +15,8 @@
     LastRow(Vec<u8>),
     /// Answers with an error of this code.
     Error(&'static str),
+    /// Answers with these bytes.
+    Raw(Vec<u8>),
     /// Reads on without an answer.
     Nothing,
     /// Ends the connection.
@@ -30,12 +32,14 @@
     streams: Arc<Mutex<Vec<TcpStream>>>,
 }
 
-fn message(kind: u8, body: &[u8]) -> Vec<u8> {
+/// A message as it stands on the wire.
+pub fn message(kind: u8, body: &[u8]) -> Vec<u8> {
     let length = (body.len() as u32 + 4).to_be_bytes();
     [&[kind][..], &length, body].concat()
 }
 
-fn row(value: &[u8]) -> Vec<u8> {
+/// A value as a data server answers with it, up to ReadyForQuery.
+pub fn row(value: &[u8]) -> Vec<u8> {
     let column = (value.len() as u32).to_be_bytes();
     let description = b"\0\x01body\0\0\0\0\0\0\0\0\0\0\x11\xff\xff\xff\xff\xff\xff\0\x01";
     let data = [&[0, 1][..], &column, value].concat();
@@ -66,15 +70,11 @@
 impl DataServer {
     /// One that has applied all commits.
     pub fn start(primary: bool, script: impl Fn(&str) -> Say + Send + Sync + 'static) -> Self {
-        Self::behind(Duration::ZERO, primary, script)
+        Self::behind(0, primary, script)
     }
 
-    /// One whose data is so old.
-    pub fn behind(
-        age: Duration,
-        primary: bool,
-        script: impl Fn(&str) -> Say + Send + Sync + 'static,
-    ) -> Self {
+    /// One whose data is so many seconds old, as it says.
+    pub fn behind(age: i64, primary: bool, script: impl Fn(&str) -> Say + Send + Sync + 'static) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("bound");
         let (heard, script) = (Arc::new(Mutex::new(Vec::new())), Arc::new(script));
@@ -118,7 +118,7 @@
 
 fn converse(
     mut stream: &TcpStream,
-    (primary, age): (bool, Duration),
+    (primary, age): (bool, i64),
     log: &Mutex<Vec<String>>,
     script: &dyn Fn(&str) -> Say,
 ) -> io::Result<()> {
@@ -134,11 +134,15 @@
         log.lock().expect("no panic").push(text.clone());
         let mode: &[u8] = if primary { b"mode\0read-write\0" } else { b"mode\0read-only\0" };
         let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970");
-        let position = format!("wal_time\0{}\0", now.saturating_sub(age).as_millis());
+        let position = format!("wal_time\0{}\0", now.as_millis() as i64 - 1000 * age);
         let said = match script(&text) {
             Say::Row(value) => row(&value),
             Say::LastRow(value) => return stream.write_all(&row(&value)),
             Say::Error(code) => message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes()),
+            Say::Raw(bytes) => {
+                stream.write_all(&bytes)?;
+                continue;
+            }
             Say::Nothing => continue,
             Say::Hang => return Ok(()),
         };
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,6 +5,7 @@
 
 mod logger;
 
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Duration;
@@ -12,13 +13,14 @@
 use clap::{Parser, Subcommand};
 use log::LevelFilter;
 use pipittack::interface::Settings;
-use pipittack::net::buffers::{self, Pool};
+use pipittack::net::buffers::Pool;
 use pipittack::net::clients::{self, Clients};
 use pipittack::net::discovery::{self, Lister};
 use pipittack::net::exchange::{Clock, Exchange};
-use pipittack::net::{pg, servers};
+use pipittack::net::servers;
 use pipittack::settings::{Config, Env, SOCKETS_LEAST};
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 
 /// Descriptors for all that is neither a client nor a data server: standard streams, the listener, discovery,
@@ -31,10 +33,8 @@
 /// Time past the longest deadline after which a run that is to end ends. With the farewell it must stay under
 /// the 0.7 s past that deadline at which the platform kills what has not ended.
 const OVERTIME: Duration = Duration::from_millis(150);
-/// Memory that a client may need at the most: a statement and its answer, both of the greatest length.
-const CLIENT_MEMORY: usize = pg::QUERY_MOST + pg::ANSWER_MOST + 2 * buffers::SIZE;
-/// Memory in megabytes for all that is not a client's.
-const MEMORY_RESERVE: u64 = 32;
+/// Part of the memory that is for bytes on their way; the rest is for the program and all it keeps.
+const BUFFER_SHARE: f64 = 0.5;
 
 #[derive(Parser)]
 #[command(name = "pipittack", version, about)]
@@ -86,7 +86,7 @@
         Command::CheckConfig { file } => file.read().map(|(config, settings, _)| {
             println!("{}: {} classes, listens at {}", config.name, settings.classes.len(), config.listen);
         }),
-        Command::Serve { file, log_level } => file.read().and_then(|config| start(config, log_level)),
+        Command::Serve { file, log_level } => start(&file, log_level),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -97,25 +97,27 @@
     }
 }
 
-fn start(config: (Config, Settings, Env), log_level: LevelFilter) -> Result<(), String> {
+fn start(file: &ConfigFile, log_level: LevelFilter) -> Result<(), String> {
+    let config = file.read()?;
     logger::install(&config.0.name, log_level);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
-    let done = LocalSet::new().block_on(&runtime, serve(config));
+    let done = LocalSet::new().block_on(&runtime, serve(file, config));
     log::logger().flush();
     done
 }
 
-async fn serve((config, settings, env): (Config, Settings, Env)) -> Result<(), String> {
-    let (clock, pool) = (Clock::start(), Pool::default());
+async fn serve(file: &ConfigFile, (config, settings, env): (Config, Settings, Env)) -> Result<(), String> {
+    let clock = Clock::start();
+    let pool = Pool::new((config.limits.memory_mb as f64 * 1e6 * BUFFER_SHARE) as usize);
     let seed = config.seed().map_err(|e| e.to_string())?;
     let sockets = sockets(config.limits.sockets)?;
-    let memory = config.limits.memory_mb.saturating_sub(MEMORY_RESERVE).max(1) as usize * 1_000_000;
-    let for_clients = ((sockets as f64 * CLIENT_SHARE) as usize).min(memory / CLIENT_MEMORY);
+    let for_clients = (sockets as f64 * CLIENT_SHARE) as usize;
     let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
 
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
     let listener =
         clients::listen(config.listen).map_err(|e| format!("can't listen at {}: {e}", config.listen))?;
     let address = listener.local_addr().map_err(|e| format!("can't listen: {e}"))?;
@@ -135,7 +137,8 @@
     }
     let clients = Clients::new(exchange.clone(), to_clients, pool.clone());
     spawn_local(servers::run(exchange.clone(), orders, to_servers, pool));
-    spawn_local(discovery::run(exchange.clone(), asks, config.discovery, lister));
+    let (moved, service) = watch::channel(config.discovery);
+    spawn_local(discovery::run(exchange.clone(), asks, service, lister));
     exchange.step();
     let driver = exchange.clone();
     spawn_local(async move { driver.run().await });
@@ -143,9 +146,12 @@
     let door = spawn_local(async move { door.run(listener).await });
     log::info!("serving at {address}");
 
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = hangup.recv() => reload(file, &moved),
+        }
     }
     log::info!("told to end; {} requests open", exchange.open_requests());
     tokio::time::sleep(FAREWELL).await;
@@ -160,6 +166,20 @@
     Ok(())
 }
 
+/// Reads the configuration again and follows discovery to where it says. Nothing else of it takes effect
+/// before the next start; a file that can't be read changes nothing.
+fn reload(file: &ConfigFile, discovery: &watch::Sender<SocketAddr>) {
+    match file.read() {
+        Ok((config, ..)) => {
+            let moved =
+                discovery.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+            let place = if moved { "now at" } else { "still at" };
+            log::info!("configuration read again; discovery is {place} {}", config.discovery);
+        }
+        Err(fault) => log::warn!("configuration kept as it was: {fault}"),
+    }
+}
+
 /// The sockets that are for clients and data servers: what the configuration grants, as far as the system
 /// does as well, less a reserve. Guards against running out of descriptors on the way to a data server.
 fn sockets(granted: usize) -> Result<usize, String> {
--- a/src/net/buffers.rs
+++ b/src/net/buffers.rs
@@ -1,7 +1,8 @@
 //! Buffers of one size, used again from a pool, and chains of them for what is longer than one.
 //!
-//! Owns the memory that bytes on their way through the proxy lie in. It must never grow for a peer that has
-//! not sent anything: a buffer is taken once a socket has bytes to read, and goes back when they are done with.
+//! Owns the memory that bytes on their way through the proxy lie in, and says when it runs short. It must never
+//! grow for a peer that has not sent anything: a buffer is taken once a socket has bytes to read, and goes back
+//! when they are done with.
 
 use std::cell::RefCell;
 use std::io::{self, IoSlice};
@@ -18,10 +19,36 @@
 type Buffer = Box<[u8; SIZE]>;
 
 /// Where buffers come from and go back to.
-#[derive(Clone, Default)]
-pub struct Pool(Rc<RefCell<Vec<Buffer>>>);
+#[derive(Clone)]
+pub struct Pool(Rc<RefCell<Stock>>);
+
+struct Stock {
+    unused: Vec<Buffer>,
+    lent: usize,
+    /// Buffers that may be lent before they are short.
+    most: usize,
+}
+
+impl Default for Pool {
+    /// A pool whose buffers are never short.
+    fn default() -> Self {
+        Self::new(usize::MAX)
+    }
+}
 
 impl Pool {
+    /// A pool that is meant to lend so many bytes at the most.
+    pub fn new(bytes: usize) -> Self {
+        Self(Rc::new(RefCell::new(Stock { unused: Vec::new(), lent: 0, most: bytes / SIZE })))
+    }
+
+    /// Whether more than this part of what may be lent is lent. One buffer for each socket is always to be
+    /// had; whoever wants more asks first.
+    pub fn is_short(&self, part: f64) -> bool {
+        let stock = self.0.borrow();
+        stock.lent as f64 > stock.most as f64 * part
+    }
+
     /// An empty chain that takes its buffers from here.
     pub fn chain(&self) -> Chain {
         Chain { pool: self.clone(), buffers: Vec::new(), len: 0 }
@@ -29,17 +56,23 @@
 
     /// How many buffers lie unused.
     pub fn unused(&self) -> usize {
-        self.0.borrow().len()
+        self.0.borrow().unused.len()
     }
 
     fn take(&self) -> Buffer {
-        self.0.borrow_mut().pop().unwrap_or_else(|| Box::new([0; SIZE]))
+        let mut stock = self.0.borrow_mut();
+        stock.lent += 1;
+        stock.unused.pop().unwrap_or_else(|| Box::new([0; SIZE]))
     }
 
     fn give_back(&self, buffers: impl Iterator<Item = Buffer>) {
-        let mut kept = self.0.borrow_mut();
-        let room = KEPT.saturating_sub(kept.len());
-        kept.extend(buffers.take(room));
+        let mut stock = self.0.borrow_mut();
+        for buffer in buffers {
+            stock.lent -= 1;
+            if stock.unused.len() < KEPT {
+                stock.unused.push(buffer);
+            }
+        }
     }
 }
 
@@ -109,6 +142,8 @@
     /// Waits until there is something to read and reads once; 0 is the end of the stream.
     pub async fn fill(&mut self, stream: &TcpStream) -> io::Result<usize> {
         loop {
+            // Guards against a peer that always has more to read: the others must have their turns.
+            tokio::task::coop::consume_budget().await;
             stream.readable().await?;
             match self.fill_now(stream) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -5,6 +5,7 @@
 //! itself once the exchange has taken it, or let one client's slowness reach another.
 
 use std::cell::{Cell, RefCell};
+use std::collections::{BTreeSet, HashMap, HashSet};
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,7 +14,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{watch, Notify};
-use tokio::time::timeout;
+use tokio::task::AbortHandle;
+use tokio::time::{sleep_until, timeout, Instant};
 
 use super::buffers::{self, write_all, Chain, Pool};
 use super::exchange::{Call, Final};
@@ -22,14 +24,25 @@
 use crate::interface::*;
 use crate::settings::Names;
 
-/// Time within which a new client must have sent its startup packet.
-const STARTUP_WITHIN: Duration = Duration::from_secs(10);
+/// Time within which a new client must have sent its startup packet, and any client the rest of a message
+/// that it has begun. Whoever can't be served is owed an end 3 s after connecting.
+const MESSAGE_WITHIN: Duration = Duration::from_millis(2500);
+/// Time after which a client that has said nothing yet may be closed to make room for another.
+const SILENT_LEAST: Duration = Duration::from_millis(250);
+/// The same for one that stands idle between requests.
+const IDLE_LEAST: Duration = Duration::from_secs(2);
+/// Part of the buffers beyond which a client may not fill more than one.
+const LONG_MESSAGES: f64 = 0.5;
 /// Time within which a client must have taken an answer.
 const WRITE_WITHIN: Duration = Duration::from_secs(10);
 /// Time for which what a client still sends is read after its last answer, so that it gets that answer.
 const LINGER: Duration = Duration::from_secs(1);
-/// Clients over the limit that are told so at the same time.
+/// Bytes of it that are read at the most.
+const LINGER_BYTES: usize = 1 << 20;
+/// Clients over the limit that are told so at the same time; what exceeds them is closed without a word.
 const TURNED_AWAY_MOST: usize = 16;
+/// Time between warnings of one kind.
+const WARN_EVERY: Duration = Duration::from_secs(10);
 const BACKLOG: u32 = 1024;
 /// Where the text of a query stands in its message.
 const TEXT_AT: usize = 5;
@@ -50,11 +63,23 @@
     pool: Pool,
     /// For texts that must lie in one piece while they are parsed; one for all, so that none is kept idle.
     scratch: RefCell<Vec<u8>>,
-    connected: Cell<usize>,
+    /// The connections, by the number in which they came.
+    connected: RefCell<HashMap<u64, AbortHandle>>,
+    taken: Cell<u64>,
+    /// Those that have not started a session, and those that stand between requests, each with since when.
+    silent: Standing,
+    idle: Standing,
+    /// Clients turned away since the last warning, and when that was.
+    turned_away: Cell<(u64, Option<Instant>)>,
+    /// Ids of the requests that are open.
+    ids: RefCell<HashSet<String>>,
     left: Notify,
     closing: watch::Sender<bool>,
 }
 
+/// Since when connections have stood without an open request, and their numbers.
+type Standing = RefCell<BTreeSet<(Instant, u64)>>;
+
 /// The side of the clients.
 #[derive(Clone)]
 pub struct Clients(Rc<Side>);
@@ -70,9 +95,20 @@
 impl Clients {
     /// A side with no clients yet.
     pub fn new(exchange: PgExchange, options: Options, pool: Pool) -> Self {
-        let (connected, left, closing) = (Cell::new(0), Notify::new(), watch::Sender::new(false));
-        let scratch = RefCell::default();
-        Self(Rc::new(Side { exchange, options, pool, scratch, connected, left, closing }))
+        Self(Rc::new(Side {
+            exchange,
+            options,
+            pool,
+            scratch: RefCell::default(),
+            connected: RefCell::default(),
+            taken: Cell::new(0),
+            silent: RefCell::default(),
+            idle: RefCell::default(),
+            turned_away: Cell::new((0, None)),
+            ids: RefCell::default(),
+            left: Notify::new(),
+            closing: watch::Sender::new(false),
+        }))
     }
 
     /// Takes in clients until [`Self::close`]. Must run inside a [`tokio::task::LocalSet`].
@@ -101,7 +137,7 @@
 
     /// Waits until all clients are gone.
     pub async fn gone(&self) {
-        while self.0.connected.get() > 0 {
+        while !self.0.connected.borrow().is_empty() {
             self.0.left.notified().await;
         }
     }
@@ -115,30 +151,98 @@
                 return tokio::time::sleep(Duration::from_millis(20)).await;
             }
         };
-        let side = self.0.clone();
-        let limit = side.options.clients;
-        while side.connected.get() >= limit + TURNED_AWAY_MOST {
-            side.left.notified().await;
-        }
-        let full = side.connected.get() >= limit;
+        let (side, limit) = (self.0.clone(), self.0.options.clients);
+        let connected = || side.connected.borrow().len();
+        let full = connected() >= limit && !side.make_room();
         if full {
-            log::warn!("turning a client away: {limit} are connected");
+            side.warn_full();
+        }
+        if connected() >= limit + TURNED_AWAY_MOST {
+            return tokio::task::yield_now().await; // those that were closed must get to go
         }
-        side.connected.set(side.connected.get() + 1);
-        tokio::task::spawn_local(async move {
-            let mut client = Client { inbound: side.pool.chain(), side: &side, stream };
+        let number = side.taken.get() + 1;
+        side.taken.set(number);
+        let place = Place(side.clone(), number);
+        let task = tokio::task::spawn_local(async move {
+            let side = &*place.0;
+            let mut client = Client { inbound: side.pool.chain(), side, number, stream };
             if let Err(e) = client.serve(full).await {
                 log::debug!("client connection: {e}");
             }
-            drop(client);
-            side.connected.set(side.connected.get() - 1);
-            side.left.notify_waiters();
         });
+        side.connected.borrow_mut().insert(number, task.abort_handle());
+    }
+}
+
+impl Side {
+    /// Closes the client that has longest stood without an open request, if any may be closed: one that has
+    /// not started its session, else one between requests. Guards against clients that connect and stay, and
+    /// keep out those that have something to ask.
+    fn make_room(&self) -> bool {
+        let longest = |standing: &Standing, least: Duration| {
+            let first = standing.borrow().first().copied();
+            let first = first.filter(|(since, _)| since.elapsed() >= least)?;
+            standing.borrow_mut().remove(&first);
+            Some(first.1)
+        };
+        let client = longest(&self.silent, SILENT_LEAST).or_else(|| longest(&self.idle, IDLE_LEAST));
+        if let Some(task) = client.and_then(|number| self.connected.borrow().get(&number).cloned()) {
+            task.abort();
+        }
+        client.is_some()
+    }
+
+    /// Warns of a client that is turned away, not more often than whoever reads the log can bear.
+    fn warn_full(&self) {
+        let (before, warned) = self.turned_away.get();
+        let count = before + 1;
+        if warned.is_some_and(|at| at.elapsed() < WARN_EVERY) {
+            return self.turned_away.set((count, warned));
+        }
+        log::warn!("turned {count} clients away: {} are connected", self.connected.borrow().len());
+        self.turned_away.set((0, Some(Instant::now())));
+    }
+}
+
+/// A connection's place among the others, for as long as its task lives.
+struct Place(Rc<Side>, u64);
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.0.connected.borrow_mut().remove(&self.1);
+        self.0.left.notify_waiters();
+    }
+}
+
+/// A connection's entry among those that stand, for as long as it does.
+struct Stands<'s>(&'s Standing, (Instant, u64));
+
+impl<'s> Stands<'s> {
+    fn new(standing: &'s Standing, number: u64) -> Self {
+        let entry = (Instant::now(), number);
+        standing.borrow_mut().insert(entry);
+        Self(standing, entry)
+    }
+}
+
+impl Drop for Stands<'_> {
+    fn drop(&mut self) {
+        self.0.borrow_mut().remove(&self.1);
+    }
+}
+
+/// A request's id, for as long as the request is open.
+struct OpenId<'s>(&'s Side, String);
+
+impl Drop for OpenId<'_> {
+    fn drop(&mut self) {
+        self.0.ids.borrow_mut().remove(&self.1);
     }
 }
 
 struct Client<'s> {
     side: &'s Side,
+    number: u64,
     stream: TcpStream,
     inbound: Chain,
 }
@@ -153,10 +257,11 @@
 impl Client<'_> {
     async fn serve(&mut self, full: bool) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
-        let started = timeout(STARTUP_WITHIN, self.start(full)).await??;
-        if started == Flow::End {
+        let stands = Stands::new(&self.side.silent, self.number);
+        if self.start(full).await? == Flow::End {
             return Ok(());
         }
+        drop(stands);
         let mut skipping = false; // after an error in the extended protocol, up to Sync
         while let Some(message) = self.next_message().await? {
             let kind = message.array::<1>(0).map_or(0, |[kind]| kind);
@@ -185,25 +290,32 @@
         Ok(())
     }
 
-    /// Reads on; false when the client is gone, or when the proxy closes and nothing was begun.
-    async fn more(&mut self) -> io::Result<bool> {
+    /// Reads on, but not past `late`; false when the client is gone, or when the proxy closes and nothing was
+    /// begun. Guards against half a message that keeps its place for good.
+    async fn more(&mut self, late: Option<Instant>) -> io::Result<bool> {
         let mut closing = self.side.closing.subscribe();
         let between = self.inbound.is_empty();
         tokio::select! {
             biased;
-            read = self.inbound.fill(&self.stream) => Ok(read? > 0),
-            _ = closing.wait_for(|closing| *closing), if between => Ok(false),
+            read = self.inbound.fill(&self.stream) => return Ok(read? > 0),
+            _ = closing.wait_for(|closing| *closing), if between => return Ok(false),
+            () = sleep_until(late.unwrap_or_else(Instant::now)), if late.is_some() => {}
+        }
+        if !between {
+            self.expel("08P01", "a message was not complete in time").await?;
         }
+        Ok(false)
     }
 
     async fn start(&mut self, full: bool) -> io::Result<Flow> {
+        let late = Some(Instant::now() + MESSAGE_WITHIN);
         loop {
             let length = self.inbound.array::<4>(0).map(|b| u32::from_be_bytes(b) as usize);
             if length.is_some_and(|n| !(8..=pg::STARTUP_MOST).contains(&n)) {
                 return self.expel("08P01", "invalid length of startup packet").await;
             }
             let Some(length) = length.filter(|n| self.inbound.len() >= *n) else {
-                if !self.more().await? {
+                if !self.more(late).await? {
                     return Ok(Flow::End);
                 }
                 continue;
@@ -229,6 +341,7 @@
 
     /// The next whole message; none when the client is gone, or when the proxy closes between requests.
     async fn next_message(&mut self) -> io::Result<Option<Chain>> {
+        let mut late = None;
         loop {
             if let Some(header) = self.inbound.array(0) {
                 let length = pg::header(header).map(|(_, length)| length).filter(|n| *n <= pg::QUERY_MOST);
@@ -240,7 +353,16 @@
                     return Ok(Some(self.inbound.split_to(length)));
                 }
             }
-            if !self.more().await? {
+            if self.inbound.len() >= buffers::SIZE && self.side.pool.is_short(LONG_MESSAGES) {
+                self.expel("53200", "out of memory").await?;
+                return Ok(None);
+            }
+            let between = self.inbound.is_empty();
+            let _stands = between.then(|| Stands::new(&self.side.idle, self.number));
+            if !between && late.is_none() {
+                late = Some(Instant::now() + MESSAGE_WITHIN);
+            }
+            if !self.more(late).await? {
                 return Ok(None);
             }
         }
@@ -281,16 +403,23 @@
         let Some(id) = options.names.class(&statement.class) else {
             return self.reject("42601", "the statement names no known class").await;
         };
+        // What a data server would turn away or close on costs a connection there, or passes for its fault.
         let class = &options.classes[id.0];
-        if statement.write && class.need != Need::Write {
-            return self.reject("42601", "an INSERT in a class that only reads").await;
+        if statement.write != (class.need == Need::Write) {
+            return self.reject("42601", "reads and writes have classes of their own").await;
+        }
+        if !self.side.exchange.knows(GroupId(statement.group)) {
+            return self.reject("42601", "the statement names no known cluster").await;
         }
-        let (from, to) = (statement.wait_at.start + TEXT_AT, statement.wait_at.end + TEXT_AT);
-        let wait_at = statement.wait.map(|_| from..to);
+        if !self.side.ids.borrow_mut().insert(statement.id.clone()) {
+            return self.reject("08P01", "the statement has the id of another open request").await;
+        }
+        let open_id = OpenId(self.side, statement.id);
+        let wait_at = statement.wait_at.start + TEXT_AT..statement.wait_at.end + TEXT_AT;
         let call = Call {
             class: id,
             group: GroupId(statement.group),
-            time_left: statement.wait.unwrap_or(class.deadline),
+            time_left: statement.wait.min(class.deadline), // no client waits longer over all its tries
             retry: statement.retry,
             session: matches!(class.need, Need::Write | Need::Causal).then_some(statement.key),
             after_unix_ms: statement.after,
@@ -308,9 +437,12 @@
                 },
             }
         };
+        drop(open_id);
         match answer {
             Ok(Final::Served(answer)) => {
-                let mut pieces: Vec<_> = answer.0.pieces(0..answer.0.len()).map(IoSlice::new).collect();
+                let mut ready = Vec::new();
+                pg::ready(&mut ready);
+                let mut pieces: Vec<_> = answer.pieces().chain([&ready[..]]).map(IoSlice::new).collect();
                 timeout(WRITE_WITHIN, write_all(&self.stream, &mut pieces)).await??;
                 Ok(Flow::GoOn)
             }
@@ -366,11 +498,14 @@
         self.reply(|out| pg::error(out, Severity::Fatal, code, text, None)).await?;
         self.stream.shutdown().await?;
         let drain = async {
-            let mut sink = self.side.pool.chain();
-            while sink.fill(&self.stream).await? > 0 {
-                sink = self.side.pool.chain();
+            let mut left = LINGER_BYTES;
+            loop {
+                let read = self.side.pool.chain().fill(&self.stream).await?;
+                left = left.saturating_sub(read);
+                if read == 0 || left == 0 {
+                    return Ok::<(), io::Error>(());
+                }
             }
-            Ok::<(), io::Error>(())
         };
         let _ = timeout(LINGER, drain).await;
         Ok(Flow::End)
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -3,7 +3,7 @@
 //! Owns the connection to the discovery service and the ids that its servers go by here. It must never judge
 //! a server by what the list says of it; it reads entries, and reports a call or a watch that failed as such.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 use tokio::time::timeout;
 use winnow::ascii::{crlf, digit1, hex_digit1, space0, space1};
@@ -88,6 +89,7 @@
         self.rev = listing.rev;
         let mut addresses = Vec::new();
         let mut entries = Vec::new();
+        let all = listing.all;
         for target in listing.targets {
             let server = self.id(&target.uid);
             addresses.push((server, target.endpoint));
@@ -106,7 +108,14 @@
                 started: Some(target.boot_ms).filter(|ms| *ms > 0.0).map(|ms| self.clock.of_unix_ms(ms)),
             });
         }
-        let view = match (remembered, listing.all) {
+        // Names of servers that are gone would only pile up.
+        let gone = |e: &&Entry| e.health == Health::Gone;
+        entries.iter().filter(gone).for_each(|e| drop(self.ids.remove(&e.server)));
+        if all {
+            let named: BTreeSet<_> = entries.iter().map(|e| e.server).collect();
+            self.ids.retain(|id, _| named.contains(id));
+        }
+        let view = match (remembered, all) {
             (true, _) => View::Remembered(entries),
             (false, true) => View::All(entries),
             (false, false) => View::Changes(entries),
@@ -128,17 +137,26 @@
     }
 }
 
-/// Follows what the module asks of discovery until the exchange is gone.
+/// Follows what the module asks of discovery until the exchange is gone. Where `service` changes, a watch goes
+/// on at the new address at once.
 pub async fn run(
     exchange: PgExchange,
     mut asks: UnboundedReceiver<Ask>,
-    service: SocketAddr,
+    mut service: watch::Receiver<SocketAddr>,
     lister: Lister,
 ) {
     let lister = std::rc::Rc::new(std::cell::RefCell::new(lister));
     let mut watch: Option<JoinHandle<()>> = None;
-    while let Some(ask) = asks.recv().await {
+    loop {
+        let ask = tokio::select! {
+            ask = asks.recv() => match ask {
+                Some(ask) => ask,
+                None => return,
+            },
+            Ok(()) = service.changed() => Ask::Watch(watch.is_some()),
+        };
         let (exchange, lister) = (exchange.clone(), lister.clone());
+        let service = *service.borrow_and_update();
         let call = move |watch: bool| async move {
             let from = lister.borrow().rev;
             let heard = |line: Option<Listing>| {
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -8,7 +8,7 @@
 //! it unread, so that a second protocol can enter here.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -80,6 +80,8 @@
     Close(ServerId),
     /// A server is reached there from now on.
     Address(ServerId, SocketAddr),
+    /// A server is gone for good.
+    Forget(ServerId),
 }
 
 /// An attempt to be sent.
@@ -167,9 +169,37 @@
     timers: BTreeSet<(Duration, TimerId)>,
     /// Up to when a server is known to have applied all commits; none for a primary, which is at the present.
     positions: BTreeMap<ServerId, Option<Duration>>,
+    /// The servers that the list holds, and the groups that it has ever named.
+    servers: BTreeSet<ServerId>,
+    groups: HashSet<GroupId>,
     requests: u64,
 }
 
+impl<Q, A> Books<Q, A> {
+    /// Notes what the list names, and gives the servers that it has dropped. Guards against growing with
+    /// every server that ever was: what the list dropped must go everywhere.
+    fn note(&mut self, view: &View, keeps_gone: bool) -> impl Iterator<Item = ServerId> {
+        let (entries, whole) = match view {
+            View::All(entries) | View::Remembered(entries) => (&entries[..], true),
+            View::Changes(entries) => (&entries[..], false),
+            View::Refused => (&[][..], false),
+        };
+        self.groups.extend(entries.iter().map(|e| e.group));
+        let (gone, present): (Vec<_>, Vec<_>) = entries.iter().partition(|e| e.health == Health::Gone);
+        let present: BTreeSet<_> = present.iter().map(|e| e.server).collect();
+        let mut dropped: Vec<_> = gone.iter().map(|e| e.server).collect();
+        if whole {
+            dropped.extend(self.servers.difference(&present));
+        }
+        self.servers.extend(present);
+        dropped.retain(|server| !keeps_gone && self.servers.remove(server));
+        for server in &dropped {
+            self.positions.remove(server);
+        }
+        dropped.into_iter()
+    }
+}
+
 /// The exchange. Clones share it.
 pub struct Exchange<Q, A>(Rc<Shared<Q, A>>);
 
@@ -178,6 +208,8 @@
     tick: Duration,
     attempts: u32,
     bounds: Vec<Option<Duration>>,
+    /// A server that the list has dropped may still be sent to.
+    keeps_gone: bool,
     books: RefCell<Books<Q, A>>,
     orders: UnboundedSender<Order<Q>>,
     asks: UnboundedSender<Ask>,
@@ -197,6 +229,7 @@
     /// An exchange around a new decision module.
     pub fn new(settings: Settings, seed: u64, clock: Clock) -> Result<Parts<Q, A>, SettingsError> {
         let (tick, attempts) = (settings.tick, settings.limits.attempts);
+        let keeps_gone = settings.contract.only_draining_binds;
         let bound = |c: &Class| match c.need {
             Need::Bounded(age) => Some(age),
             _ => None,
@@ -210,11 +243,13 @@
             out: HashMap::new(),
             timers: BTreeSet::new(),
             positions: BTreeMap::new(),
+            servers: BTreeSet::new(),
+            groups: HashSet::new(),
             requests: 0,
         };
         let ((orders, to_servers), (asks, to_discovery)) = (unbounded_channel(), unbounded_channel());
         let (books, news) = (RefCell::new(books), Notify::new());
-        let shared = Shared { clock, tick, attempts, bounds, books, orders, asks, news };
+        let shared = Shared { clock, tick, attempts, bounds, keeps_gone, books, orders, asks, news };
         Ok((Self(Rc::new(shared)), to_servers, to_discovery))
     }
 
@@ -299,9 +334,18 @@
         for (server, address) in addresses {
             let _ = self.0.orders.send(Order::Address(server, address));
         }
+        self.0.books.borrow_mut().note(&view, self.0.keeps_gone).for_each(|server| {
+            let _ = self.0.orders.send(Order::Forget(server));
+        });
         self.tell(Event::View(view));
     }
 
+    /// Whether the list has ever named a group. Before any list, all may exist.
+    pub fn knows(&self, group: GroupId) -> bool {
+        let books = self.0.books.borrow();
+        books.groups.is_empty() || books.groups.contains(&group)
+    }
+
     fn tell(&self, event: Event) {
         self.0.books.borrow_mut().events.push(event);
         self.0.news.notify_one();
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -15,6 +15,8 @@
 use winnow::stream::{AsChar, LocatingSlice};
 use winnow::token::{literal, take, take_till, take_until, take_while};
 
+/// The longest value.
+pub const VALUE_MOST: usize = 64 * 1024;
 /// The longest query taken from a client: a value of 64 KiB in hex, and its statement.
 pub const QUERY_MOST: usize = 144 * 1024;
 /// The longest startup packet, as PostgreSQL has it.
@@ -74,12 +76,14 @@
     pub write: bool,
     /// The quoted key, as it was sent.
     pub key: String,
+    /// `id`, which no other open request may have.
+    pub id: String,
     /// `c`, the class.
     pub class: String,
     /// `cluster`, the group.
     pub group: u64,
     /// `d`, how long the client waits.
-    pub wait: Option<Duration>,
+    pub wait: Duration,
     /// Where in the text the digits of `d` stand.
     pub wait_at: Range<usize>,
     /// `r`, a repeat by the client.
@@ -108,8 +112,15 @@
 fn insert<'t>(text: &mut Text<'t>) -> Result<&'t [u8], Failure> {
     let head = (keyword("insert"), keyword("into"), keyword("objects"), keyword("("), keyword("oid"));
     let columns = (keyword(","), keyword("body"), keyword(")"), keyword("values"), keyword("("));
-    let value = (keyword(","), quoted, multispace0, keyword(")"), keyword("returning"), keyword("body"));
-    delimited((head, columns), terminated(quoted, multispace0), value).parse_next(text)
+    let value = terminated(quoted.verify(is_bytea), (multispace0, keyword(")")));
+    let tail = (keyword(","), value, keyword("returning"), keyword("body"));
+    delimited((head, columns), terminated(quoted, multispace0), tail).parse_next(text)
+}
+
+/// Whether a quoted value is binary data in hex, not longer than a data server takes.
+fn is_bytea(value: &[u8]) -> bool {
+    let digits = value.strip_prefix(br"\x").filter(|hex| hex.len() <= 2 * VALUE_MOST);
+    digits.is_some_and(|hex| hex.len() % 2 == 0 && hex.iter().all(u8::is_ascii_hexdigit))
 }
 
 /// One `name=value` of the comment, and where the value stands.
@@ -130,27 +141,34 @@
     let key = String::from_utf8_lossy(key).into_owned();
     let mut statement = Statement { write, key, ..Statement::default() };
     let wrong = || ErrMode::Cut(ContextError::new());
+    let digits = |value: &str| value.bytes().all(|b| b.is_ascii_digit()); // `parse` would take a sign
+    let whole = |value: &str| value.parse::<u64>().ok().filter(|_| digits(value)).ok_or_else(wrong);
+    // Which of two values of one name a data server would go by is not known here.
+    let mut named: Vec<_> = pairs.iter().map(|(name, ..)| *name).collect();
+    named.sort_unstable();
+    let twice = named.windows(2).any(|w| w[0] == w[1]);
+    if twice || !["c", "cluster", "d", "id"].iter().all(|name| named.contains(name)) {
+        return Err(wrong());
+    }
     for (name, value, at) in pairs {
-        let whole = || value.parse::<u64>().map_err(|_| wrong());
         match name {
+            "id" => statement.id = value.to_owned(),
             "c" => statement.class = value.to_owned(),
-            "cluster" => statement.group = whole()?,
-            "d" => {
-                (statement.wait, statement.wait_at) = (Some(Duration::from_millis(whole()?)), at);
-            }
-            "r" => statement.retry = value == "1",
-            "after" => {
-                let after = value.parse().ok().filter(|ms: &f64| ms.is_finite() && *ms >= 0.0);
-                statement.after = Some(after.ok_or_else(wrong)?);
-            }
+            "cluster" => statement.group = whole(value)?,
+            "d" => (statement.wait, statement.wait_at) = (Duration::from_millis(whole(value)?), at),
+            "r" => statement.retry = whole(value)? == 1,
+            "after" => statement.after = Some(whole(value)? as f64),
             _ => {} // passed on with the rest of the text
         }
     }
-    Ok(statement)
+    let plain =
+        |id: &str| !id.is_empty() && id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_".contains(&b));
+    plain(&statement.id).then_some(statement).ok_or_else(wrong)
 }
 
 /// Reads the text of a simple query, without the zero byte that ends it.
 pub fn query(text: &[u8]) -> Option<Query> {
+    std::str::from_utf8(text).ok()?;
     let setting = |word: &'static str| (literal(Caseless(word)), multispace1::<_, Failure>).value(word);
     let empty = (multispace0::<_, Failure>, repeat::<_, _, (), _, _>(0.., (b';', multispace0)), eof);
     let setting = preceded(multispace0, alt((setting("SET"), setting("RESET"), setting("DISCARD"))));
@@ -168,28 +186,57 @@
 }
 
 /// The name and value of a ParameterStatus body.
-pub fn parameter(mut body: &[u8]) -> Option<(String, String)> {
-    let text = |b: &[u8]| String::from_utf8_lossy(b).into_owned();
-    (c_string, c_string).map(|(name, value)| (text(name), text(value))).parse_next(&mut body).ok()
+pub fn parameter(mut body: &[u8]) -> Option<(&str, &str)> {
+    let text = || c_string.try_map(std::str::from_utf8);
+    terminated((text(), text()), eof).parse_next(&mut body).ok()
 }
 
 /// The SQLSTATE of an ErrorResponse body.
 pub fn sqlstate(mut body: &[u8]) -> Option<[u8; 5]> {
     let field = (any_byte.verify(|kind: &u8| *kind != 0), c_string);
-    let fields: Vec<(u8, &[u8])> = repeat(0.., field).parse_next(&mut body).ok()?;
+    let fields: Vec<(u8, &[u8])> =
+        terminated(repeat(0.., field), (0u8, eof::<_, Failure>)).parse_next(&mut body).ok()?;
     fields.iter().find(|(kind, _)| *kind == b'C').and_then(|(_, code)| (*code).try_into().ok())
 }
 
-/// The `name=value` pairs of a load report.
+/// The `name=value` pairs of a load report. What is no figure is passed over.
 pub fn load_report(text: &str) -> Vec<(&str, f64)> {
     let pairs = text.split(',').filter_map(|part| part.split_once('='));
-    pairs.filter_map(|(name, value)| Some((name.trim(), value.trim().parse().ok()?))).collect()
+    let figure = |value: &str| value.trim().parse().ok().filter(|v: &f64| v.is_finite());
+    pairs.filter_map(|(name, value)| Some((name.trim(), figure(value)?))).collect()
+}
+
+/// Whether a RowDescription body describes a single column.
+pub fn describes_one_column(mut body: &[u8]) -> bool {
+    let column = (c_string, take(18usize));
+    (&[0, 1], column, eof::<_, Failure>).parse_next(&mut body).is_ok()
 }
 
-/// The text of the only column of a DataRow body.
+/// The value in a DataRow body of a single column.
 pub fn only_column(mut body: &[u8]) -> Option<&[u8]> {
-    let mut column = preceded(take::<_, _, Failure>(2usize), be_u32).flat_map(|n| take(n as usize));
-    column.parse_next(&mut body).ok()
+    let column = preceded(literal(&[0, 1][..]), be_u32::<_, Failure>).flat_map(|n| take(n as usize));
+    terminated(column, eof).parse_next(&mut body).ok()
+}
+
+/// Whether a CommandComplete body is a tag.
+pub fn is_tag(mut body: &[u8]) -> bool {
+    terminated(c_string, eof::<_, Failure>).parse_next(&mut body).is_ok()
+}
+
+/// Whether a message from a data server may be so long. What claims to be longer is not waited for.
+pub fn may_be(kind: u8, length: usize) -> bool {
+    let (least, most) = match kind {
+        b'Z' => (6, 6),
+        b'R' => (9, 1024),
+        b'K' => (13, 512),
+        b'C' => (6, 256),
+        b'T' => (7, 4096),
+        b'E' | b'N' => (6, 16 * 1024),
+        b'S' => (7, 16 * 1024),
+        b'D' => (11, ANSWER_MOST),
+        _ => return false,
+    };
+    (least..=most).contains(&length)
 }
 
 /// Appends a message: its type, its length, and what `body` writes.
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -10,12 +10,14 @@
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::task::AbortHandle;
-use tokio::time::{timeout_at, Instant};
+use tokio::time::{timeout, timeout_at, Instant};
 
 use super::buffers::{write_all, Chain, Pool};
 use super::exchange::{Clock, Ending, Exchange, Key, Order, Send};
@@ -27,17 +29,32 @@
 const LOGIN: (&str, &str) = ("worker", "catalog");
 /// Part of the servers' idle time after which a connection is not used again.
 const IDLE_SHARE: f64 = 0.6;
+/// Time within which an answer that has begun goes on: servers write theirs in one go.
+const GOES_ON_WITHIN: Duration = Duration::from_millis(500);
+/// A position ahead of the clock by more than this is none.
+const AHEAD_MOST: Duration = Duration::from_secs(1);
 
 /// A client's query on its way: the message as it came, and where its `d` stands.
 pub struct Query {
     /// The whole message, from its type to the zero byte that ends its text.
     pub message: Chain,
-    /// Where in it the digits of `d` stand, if it has any.
-    pub wait_at: Option<Range<usize>>,
+    /// Where in it the digits of `d` stand.
+    pub wait_at: Range<usize>,
 }
 
-/// A whole answer as a data server gave it, up to and with ReadyForQuery.
-pub struct Answer(pub Chain);
+/// A whole value as a data server gave it: RowDescription, DataRow and CommandComplete. What the server says
+/// of itself beside them stays here.
+pub struct Answer {
+    bytes: Chain,
+    messages: [Range<usize>; 3],
+}
+
+impl Answer {
+    /// Its bytes, in the pieces they lie in.
+    pub fn pieces(&self) -> impl Iterator<Item = &[u8]> {
+        self.messages.iter().flat_map(|at| self.bytes.pieces(at.clone()))
+    }
+}
 
 /// The exchange as both sides of this protocol use it.
 pub type PgExchange = Exchange<Query, Answer>;
@@ -72,16 +89,19 @@
     stream: TcpStream,
     address: SocketAddr,
     idle_since: Instant,
-    _place: Place,
+    /// Its place in the budget of sockets.
+    _place: OwnedSemaphorePermit,
 }
 
-/// A place in the budget of sockets.
-struct Place(Rc<Cell<usize>>);
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
+/// How far an attempt has come.
+#[derive(Clone, Copy, PartialEq)]
+enum Stage {
+    /// There is no socket for it yet.
+    Waits,
+    /// Its connection comes up, or its query is being written.
+    Connects,
+    /// The last byte of its query was written: it may run.
+    Written,
 }
 
 struct Side {
@@ -90,7 +110,9 @@
     pool: Pool,
     addresses: RefCell<HashMap<ServerId, SocketAddr>>,
     idle: RefCell<HashMap<ServerId, Vec<Connection>>>,
-    sockets: Rc<Cell<usize>>,
+    sockets: Arc<Semaphore>,
+    /// How many wait for a socket.
+    waiting: Cell<usize>,
     attempts: RefCell<HashMap<Key, AbortHandle>>,
 }
 
@@ -101,13 +123,15 @@
     options: Options,
     pool: Pool,
 ) {
+    let sockets = Arc::new(Semaphore::new(options.sockets));
     let side = Rc::new(Side {
         exchange,
         options,
         pool,
         addresses: RefCell::default(),
         idle: RefCell::default(),
-        sockets: Rc::default(),
+        sockets,
+        waiting: Cell::new(0),
         attempts: RefCell::default(),
     });
     let mut sweep = tokio::time::interval(Duration::from_secs(1));
@@ -155,34 +179,50 @@
                     self.idle.borrow_mut().remove(&server);
                 }
             }
+            Order::Forget(server) => {
+                self.addresses.borrow_mut().remove(&server);
+                self.idle.borrow_mut().remove(&server);
+            }
         }
     }
 
     /// Closes what has stood idle for too long: a query must not meet the server's own closing.
     fn sweep(&self) {
-        let fresh = |c: &Connection| {
-            self.options.conn_idle.is_zero() || c.idle_since.elapsed() < self.options.conn_idle
-        };
-        self.idle.borrow_mut().values_mut().for_each(|idle| idle.retain(fresh));
+        self.idle.borrow_mut().retain(|_, idle| {
+            idle.retain(|c| self.is_fresh(c));
+            !idle.is_empty()
+        });
+    }
+
+    fn is_fresh(&self, connection: &Connection) -> bool {
+        let most = self.options.conn_idle;
+        most.is_zero() || connection.idle_since.elapsed() < most
     }
 
     async fn attempt(&self, send: &Send<Query>) -> Ending<Answer> {
-        let written = Cell::new(false);
-        match timeout_at(send.until, self.converse(send, &written)).await {
-            Ok(Ok(ending)) => ending,
+        let stage = Cell::new(Stage::Waits);
+        let outcome = match timeout_at(send.until, self.converse(send, &stage)).await {
+            Ok(Ok(ending)) => return ending,
             Ok(Err(e)) => {
                 log::debug!("attempt at server {}: {e}", send.server.0);
-                Ending::without_answer(if written.get() { Outcome::Reset } else { Outcome::ConnectFailed })
-            }
-            // What was not written whole was not begun.
-            Err(_) => {
-                Ending::without_answer(if written.get() { Outcome::Timeout } else { Outcome::ConnectFailed })
+                match stage.get() {
+                    // It ran and its server is up: only what came back can't be used.
+                    Stage::Written if e.kind() == io::ErrorKind::InvalidData => Outcome::Error,
+                    Stage::Written => Outcome::Reset,
+                    _ => Outcome::ConnectFailed,
+                }
             }
-        }
+            Err(_) => match stage.get() {
+                Stage::Written => Outcome::Timeout,
+                Stage::Connects => Outcome::ConnectFailed, // what was not written whole was not begun
+                Stage::Waits => Outcome::Moot,
+            },
+        };
+        Ending::without_answer(outcome)
     }
 
-    async fn converse(&self, send: &Send<Query>, written: &Cell<bool>) -> io::Result<Ending<Answer>> {
-        let connection = match self.checkout(send.server).await? {
+    async fn converse(&self, send: &Send<Query>, stage: &Cell<Stage>) -> io::Result<Ending<Answer>> {
+        let connection = match self.checkout(send.server, stage).await? {
             Checkout::Ready(connection) => connection,
             Checkout::Rejected(outcome) => return Ok(Ending::without_answer(outcome)),
         };
@@ -194,9 +234,9 @@
         }
         let left = send.until.saturating_duration_since(Instant::now());
         send_query(&connection.stream, &send.query, left).await?;
-        written.set(true);
-        let reply = self.reply(&connection.stream).await?;
-        if reply.ready {
+        stage.set(Stage::Written);
+        let reply = self.reply(&connection.stream, Asked::Statement).await?;
+        if reply.reusable() {
             self.give_back(send.server, connection);
         }
         Ok(reply.ending(self.exchange.clock()))
@@ -205,38 +245,41 @@
     async fn probe(&self, server: ServerId) -> (bool, Option<Report>) {
         let text = if self.options.probe_reports { "SHOW stats" } else { "SELECT 1" };
         let ask = async {
-            let Checkout::Ready(connection) = self.checkout(server).await? else {
+            let Checkout::Ready(connection) = self.checkout(server, &Cell::new(Stage::Waits)).await? else {
                 return Err(io::ErrorKind::ConnectionRefused.into());
             };
             write_all(&connection.stream, &mut [IoSlice::new(&pg::simple_query(text))]).await?;
-            let reply = self.reply(&connection.stream).await?;
-            if reply.ready {
+            let reply = self.reply(&connection.stream, Asked::Statement).await?;
+            if reply.reusable() {
                 self.give_back(server, connection);
             }
             Ok::<Reply, io::Error>(reply)
         };
         // A probe that takes longer than a connection may has shown what it was to show.
         match timeout_at(Instant::now() + self.options.connect_timeout, ask).await {
-            Ok(Ok(reply)) => (reply.row.is_some(), reply.probe_report(self.exchange.clock())),
-            _ => (false, None),
+            Ok(Ok(reply)) => (reply.served(), reply.probe_report(self.exchange.clock())),
+            // What can't be read came from a server that is up.
+            Ok(Err(e)) => (e.kind() == io::ErrorKind::InvalidData, None),
+            Err(_) => (false, None),
         }
     }
 
     /// An idle connection that is still good, or a new one.
-    async fn checkout(&self, server: ServerId) -> io::Result<Checkout> {
+    async fn checkout(&self, server: ServerId, stage: &Cell<Stage>) -> io::Result<Checkout> {
         loop {
             let Some(connection) = self.idle.borrow_mut().get_mut(&server).and_then(Vec::pop) else { break };
-            let fresh =
-                self.options.conn_idle.is_zero() || connection.idle_since.elapsed() < self.options.conn_idle;
             // Whatever can be read on an idle connection, its end included, makes it useless.
             let quiet = |e: io::Error| e.kind() == io::ErrorKind::WouldBlock;
-            if fresh && self.pool.chain().fill_now(&connection.stream).is_err_and(quiet) {
+            if self.is_fresh(&connection) && self.pool.chain().fill_now(&connection.stream).is_err_and(quiet)
+            {
+                stage.set(Stage::Connects);
                 return Ok(Checkout::Ready(connection));
             }
         }
+        let place = self.place().await;
+        stage.set(Stage::Connects);
         let address = self.addresses.borrow().get(&server).copied();
         let Some(address) = address else { return Ok(Checkout::Rejected(Outcome::ConnectFailed)) };
-        let Some(place) = self.place() else { return Ok(Checkout::Rejected(Outcome::Moot)) };
         let connect = self.connect(address, place);
         match timeout_at(Instant::now() + self.options.connect_timeout, connect).await {
             Ok(done) => done,
@@ -244,47 +287,63 @@
         }
     }
 
-    /// A place for one more socket; where there is none, the connection that has stood idle longest goes.
-    fn place(&self) -> Option<Place> {
-        if self.sockets.get() >= self.options.sockets {
-            let mut idle = self.idle.borrow_mut();
-            let oldest = idle.values_mut().filter(|c| !c.is_empty()).min_by_key(|c| c[0].idle_since)?;
-            oldest.remove(0);
+    /// A place for one more socket. Where there is none, the connection that has stood idle longest goes;
+    /// where none is idle, this waits for its turn. Guards against spending a request's attempts in a few
+    /// ticks on a want of sockets that ends with the next answer.
+    async fn place(&self) -> OwnedSemaphorePermit {
+        if let Ok(place) = self.sockets.clone().try_acquire_owned() {
+            return place;
+        }
+        if let Some(idle) =
+            self.idle.borrow_mut().values_mut().filter(|c| !c.is_empty()).min_by_key(|c| c[0].idle_since)
+        {
+            idle.remove(0);
         }
-        self.sockets.set(self.sockets.get() + 1);
-        Some(Place(self.sockets.clone()))
+        let _waits = Waits::new(&self.waiting);
+        self.sockets.clone().acquire_owned().await.expect("it is never closed")
     }
 
-    async fn connect(&self, address: SocketAddr, place: Place) -> io::Result<Checkout> {
+    async fn connect(&self, address: SocketAddr, place: OwnedSemaphorePermit) -> io::Result<Checkout> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let hello = pg::startup_packet(LOGIN.0, LOGIN.1);
         write_all(&stream, &mut [IoSlice::new(&hello)]).await?;
-        let reply = self.reply(&stream).await?;
-        Ok(match (reply.ready, reply.code) {
-            (true, None) => {
+        let reply = self.reply(&stream, Asked::Welcome).await?;
+        Ok(match reply.code {
+            None if reply.reusable() => {
                 Checkout::Ready(Connection { stream, address, idle_since: Instant::now(), _place: place })
             }
-            (_, Some(code)) if &code == b"53300" => Checkout::Rejected(Outcome::Full),
+            Some(code) if &code == b"53300" => Checkout::Rejected(Outcome::Full),
             _ => Checkout::Rejected(Outcome::ConnectFailed),
         })
     }
 
+    /// Keeps a connection for later, unless somebody waits for its socket or its server has gone elsewhere.
     fn give_back(&self, server: ServerId, mut connection: Connection) {
-        if self.addresses.borrow().get(&server) == Some(&connection.address) {
+        if self.waiting.get() == 0 && self.addresses.borrow().get(&server) == Some(&connection.address) {
             connection.idle_since = Instant::now();
             self.idle.borrow_mut().entry(server).or_default().push(connection);
         }
     }
 
     /// Reads up to ReadyForQuery. A server may close after its answer: then the connection's end will do.
-    async fn reply(&self, stream: &TcpStream) -> io::Result<Reply> {
-        let mut reply = Reply::new(self.pool.chain());
+    async fn reply(&self, stream: &TcpStream, asked: Asked) -> io::Result<Reply> {
+        let mut reply = Reply::new(self.pool.chain(), asked);
         loop {
             if reply.take_in()? {
                 return Ok(reply);
             }
-            if reply.bytes.fill(stream).await? == 0 {
+            let begun = !reply.bytes.is_empty();
+            let fill = reply.bytes.fill(stream);
+            let read = if begun {
+                // Guards against an answer whose length does not fit and whose end never comes.
+                timeout(GOES_ON_WITHIN, fill)
+                    .await
+                    .map_err(|_| io::Error::from(io::ErrorKind::InvalidData))?
+            } else {
+                fill.await
+            };
+            if read? == 0 {
                 let told = reply.code.is_some() || reply.served();
                 return told.then_some(reply).ok_or(io::ErrorKind::UnexpectedEof.into());
             }
@@ -292,6 +351,22 @@
     }
 }
 
+/// Counts one who waits for a socket, for as long as it lives.
+struct Waits<'s>(&'s Cell<usize>);
+
+impl<'s> Waits<'s> {
+    fn new(count: &'s Cell<usize>) -> Self {
+        count.set(count.get() + 1);
+        Self(count)
+    }
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
 enum Checkout {
     Ready(Connection),
     /// No connection: the outcome that this means.
@@ -302,7 +377,7 @@
 async fn send_query(stream: &TcpStream, query: &Query, left: Duration) -> io::Result<()> {
     let (message, length) = (&query.message, query.message.len());
     let wait = left.as_millis().max(1).to_string();
-    let (at, wait) = query.wait_at.clone().map_or((length..length, ""), |at| (at, &*wait));
+    let at = query.wait_at.clone();
     let header = pg::query_header(length - at.len() + wait.len());
     let mut pieces = vec![IoSlice::new(&header)];
     pieces.extend(message.pieces(header.len()..at.start).map(IoSlice::new));
@@ -311,16 +386,25 @@
     write_all(stream, &mut pieces).await
 }
 
-/// A data server's answer as it comes in.
+/// What a reply answers.
+#[derive(Clone, Copy, PartialEq)]
+enum Asked {
+    Welcome,
+    Statement,
+}
+
+/// A data server's answer as it comes in. What breaks the protocol in any way is not believed in anything:
+/// it may be another answer's middle, or noise.
 struct Reply {
+    asked: Asked,
     bytes: Chain,
     /// Where the next message starts.
     at: usize,
     scratch: Vec<u8>,
     ready: bool,
-    complete: bool,
-    /// Where the body of the first DataRow lies.
-    row: Option<Range<usize>>,
+    /// Where the messages of the value lie, as far as they have come.
+    value: Vec<Range<usize>>,
+    welcomed: bool,
     code: Option<[u8; 5]>,
     primary: Option<bool>,
     position_ms: Option<f64>,
@@ -328,14 +412,15 @@
 }
 
 impl Reply {
-    fn new(bytes: Chain) -> Self {
+    fn new(bytes: Chain, asked: Asked) -> Self {
         Self {
+            asked,
             bytes,
             at: 0,
             scratch: Vec::new(),
             ready: false,
-            complete: false,
-            row: None,
+            value: Vec::new(),
+            welcomed: false,
             code: None,
             primary: None,
             position_ms: None,
@@ -348,85 +433,123 @@
         while let Some(header) = self.bytes.array(self.at) {
             let (kind, length) = pg::header(header).ok_or(io::ErrorKind::InvalidData)?;
             let end = self.at.saturating_add(length);
-            if end > pg::ANSWER_MOST {
+            if !pg::may_be(kind, length) || end > pg::ANSWER_MOST {
                 return Err(io::ErrorKind::InvalidData.into());
             }
             if end > self.bytes.len() {
                 return Ok(false);
             }
-            let body = self.at + 5..end;
+            let whole = self.at..end;
             self.at = end;
-            match kind {
-                b'S' => self.parameter(body),
-                b'E' => {
-                    self.bytes.copy(body, &mut self.scratch);
-                    self.code = Some(pg::sqlstate(&self.scratch).unwrap_or(*b"XX000"));
-                }
-                b'D' => self.row = self.row.take().or(Some(body)),
-                b'C' => self.complete = true,
-                b'Z' if end == self.bytes.len() => {
-                    self.ready = true;
-                    return Ok(true);
-                }
-                b'Z' => return Err(io::ErrorKind::InvalidData.into()),
-                _ => {}
+            self.bytes.copy(whole.start + header.len()..end, &mut self.scratch);
+            self.message(kind, whole).ok_or(io::ErrorKind::InvalidData)?;
+            if self.ready {
+                return Ok(true);
             }
         }
         Ok(false)
     }
 
-    /// Whether it is a value, whole.
-    fn served(&self) -> bool {
-        self.row.is_some() && self.complete && self.code.is_none()
+    /// Takes in a message whose body lies in `scratch`; none if it can't be what comes next.
+    fn message(&mut self, kind: u8, whole: Range<usize>) -> Option<()> {
+        let body = &self.scratch[..];
+        let statement = self.asked == Asked::Statement;
+        let open = self.code.is_none();
+        let fits = match (kind, self.value.len()) {
+            (b'S', _) => return self.parameter(),
+            (b'N', _) => true,
+            (b'R', _) => {
+                let first = !statement && open && !std::mem::replace(&mut self.welcomed, true);
+                first && body == [0; 4]
+            }
+            (b'K', _) => !statement && open && self.welcomed,
+            (b'T', 0) => statement && open && pg::describes_one_column(body),
+            (b'D', 1) => open && pg::only_column(body).is_some(),
+            (b'C', 2) => open && pg::is_tag(body),
+            (b'E', 0..3) => {
+                // What fails after its row has begun has run, whatever the code says.
+                let code =
+                    pg::sqlstate(body).map(|code| if self.value.is_empty() { code } else { *b"XX000" });
+                return (open && code.is_some()).then(|| self.code = code);
+            }
+            (b'Z', values) => {
+                self.ready = true;
+                let told = if statement { values == 3 } else { self.welcomed };
+                (!open || told) && matches!(body, [b'I' | b'T' | b'E'])
+            }
+            _ => false,
+        };
+        if matches!(kind, b'T' | b'D' | b'C') {
+            self.value.push(whole);
+        }
+        fits.then_some(())
     }
 
-    fn parameter(&mut self, body: Range<usize>) {
-        self.bytes.copy(body, &mut self.scratch);
-        let Some((name, value)) = pg::parameter(&self.scratch) else { return };
-        match (name.as_str(), value.as_str()) {
+    fn parameter(&mut self) -> Option<()> {
+        // An unreadable load report spoils nothing else.
+        let is_report = self.scratch.starts_with(b"stats\0");
+        let Some((name, value)) = pg::parameter(&self.scratch) else { return is_report.then_some(()) };
+        match (name, value) {
             ("mode", "read-write") => self.primary = Some(true),
             ("mode", "read-only") => self.primary = Some(false),
-            ("wal_time", _) => self.position_ms = value.parse().ok().filter(|ms| *ms > 0.0),
-            ("stats", _) => self.stats = Some(value),
+            ("mode", _) => return None,
+            ("wal_time", _) => {
+                let ms: f64 = value.parse().ok().filter(|ms: &f64| ms.is_finite() && *ms >= 0.0)?;
+                self.position_ms = Some(ms).filter(|ms| *ms > 0.0);
+            }
+            ("stats", _) => self.stats = Some(value.to_owned()),
             _ => {}
         }
+        Some(())
+    }
+
+    /// Whether it is a value, whole.
+    fn served(&self) -> bool {
+        self.value.len() == 3 && self.code.is_none()
+    }
+
+    /// Whether its connection can carry another request: nothing may be left on it that the next answer
+    /// would be taken from.
+    fn reusable(&self) -> bool {
+        self.ready && self.bytes.len() == self.at
     }
 
     /// What it means for the attempt.
-    fn ending(mut self, clock: Clock) -> Ending<Answer> {
+    fn ending(self, clock: Clock) -> Ending<Answer> {
         let outcome = match self.code.as_ref() {
             None if self.served() => Outcome::Ok,
             Some(b"25006" | b"72000") => Outcome::Miss,
             Some(b"53300") => Outcome::Full,
             _ => Outcome::Error,
         };
-        let position = self.position_ms.map(|ms| clock.of_unix_ms(ms));
+        let position = self.position_ms.and_then(|ms| position(ms, clock));
         let heard = position.is_some() || self.primary.is_some();
         let note = heard.then_some(Note { position, primary: self.primary });
         let report = self.stats.as_deref().map(|text| report(text, clock));
-        if !self.ready {
-            // The connection ended after CommandComplete, or in the middle of what follows it.
-            self.bytes = self.bytes.split_to(self.at);
-            let mut ready = Vec::new();
-            pg::ready(&mut ready);
-            self.bytes.extend(&ready);
-        }
-        Ending { outcome, note, report, answer: (outcome == Outcome::Ok).then_some(Answer(self.bytes)) }
+        let value = <[_; 3]>::try_from(self.value).ok().filter(|_| outcome == Outcome::Ok);
+        let answer = value.map(|messages| Answer { bytes: self.bytes, messages });
+        Ending { outcome, note, report, answer }
     }
 
     fn probe_report(&self, clock: Clock) -> Option<Report> {
         let mut row = Vec::new();
-        self.bytes.copy(self.row.clone()?, &mut row);
+        let at = self.value.get(1)?;
+        self.bytes.copy(at.start + 5..at.end, &mut row);
         let text = std::str::from_utf8(pg::only_column(&row)?).ok()?;
         text.contains('=').then(|| report(text, clock))
     }
 }
 
+/// A position on the clock. One from the future would let data of any age pass for fresh from then on.
+fn position(ms: f64, clock: Clock) -> Option<Duration> {
+    Some(clock.of_unix_ms(ms)).filter(|at| *at <= clock.now() + AHEAD_MOST)
+}
+
 fn report(text: &str, clock: Clock) -> Report {
     let mut report = Report::default();
     for (name, value) in pg::load_report(text) {
         match name {
-            "x0" => report.position = Some(clock.of_unix_ms(value * 1e3)),
+            "x0" => report.position = position(value * 1e3, clock),
             "x1" => report.primary = Some(value == 1.0),
             "busy_reqs" | "inflight" => report.in_flight = Some(value),
             "pending" | "queue" => report.waiting = Some(value),
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -73,6 +73,25 @@
     assert!(answer.try_recv().is_err());
 }
 
+/// Guards against growing with every server that ever was: what the list drops is forgotten everywhere.
+#[rstest::rstest]
+#[case::gone(View::Changes(vec![Entry { health: Health::Gone, ..entry(3, false) }]), &[3])]
+#[case::draining(View::Changes(vec![Entry { health: Health::Draining, ..entry(3, false) }]), &[])]
+#[case::not_in_the_whole_list(View::All(vec![entry(2, false), entry(4, true)]), &[1, 3])]
+#[case::never_listed(View::Changes(vec![Entry { health: Health::Gone, ..entry(9, false) }]), &[])]
+fn a_server_that_the_list_drops_is_forgotten(#[case] view: View, #[case] dropped: &[u32]) {
+    let (exchange, mut orders) = start(Clock::start());
+    exchange.listed(view, []);
+    let mut forgotten = Vec::new();
+    while let Ok(order) = orders.try_recv() {
+        if let Order::Forget(server) = order {
+            forgotten.push(server.0);
+        }
+    }
+    assert_eq!(forgotten, dropped);
+    assert!(exchange.knows(GroupId(1)) && !exchange.knows(GroupId(9)));
+}
+
 #[test]
 fn attempts_are_numbered_in_the_order_of_sending() {
     let (exchange, mut orders) = start(Clock::start());
--- a/tests/network.rs
+++ b/tests/network.rs
@@ -17,7 +17,9 @@
 /// The program under test. It is killed when the test is done with it.
 struct Proxy {
     child: Child,
+    config: String,
     address: SocketAddr,
+    log: std::sync::mpsc::Receiver<String>,
     _discovery: Discovery,
 }
 
@@ -28,31 +30,48 @@
     }
 }
 
-fn command(config: &str) -> Command {
+impl Proxy {
+    /// Waits for a line of the log that holds a text.
+    fn logged(&self, text: &str) -> String {
+        std::iter::repeat_with(|| self.log.recv_timeout(PATIENCE).expect("a line of the log"))
+            .find(|line| line.contains(text))
+            .expect("it goes on until one does")
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().expect("a shell runs").success());
+    }
+}
+
+/// A command that serves a configuration, and the path where that lies.
+fn command(config: &str) -> (Command, String) {
     static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
     let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
     let path = format!("{}/proxy-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
     std::fs::write(&path, config).expect("a writable folder");
     let mut command = Command::new(env!("CARGO_BIN_EXE_pipittack"));
-    command.arg("serve").env("GW_CONFIG", path).stderr(Stdio::piped());
-    command
+    command.arg("serve").env("GW_CONFIG", &path).stderr(Stdio::piped());
+    (command, path)
 }
 
 /// Starts the program with a list of servers, and waits until it serves and has the list.
 fn start(targets: &[String]) -> Proxy {
-    start_within(1024, targets)
+    start_within(192, 1024, targets)
 }
 
-/// The same with so many descriptors.
-fn start_within(sockets: u32, targets: &[String]) -> Proxy {
+/// The same with so much memory and so many descriptors.
+fn start_within(memory_mb: u32, sockets: u32, targets: &[String]) -> Proxy {
     let discovery = Discovery::start(listing(1, true, targets));
     let known = format!(r#""known": {}, "settings""#, listing(1, true, targets));
     let config = include_str!("../examples/config.json")
         .replace("127.0.0.1:5433", "127.0.0.1:0")
         .replace("127.0.0.1:8500", &discovery.address.to_string())
+        .replace("192", &memory_mb.to_string())
         .replace("1024", &sockets.to_string())
         .replace(r#""settings""#, &known);
-    let mut child = command(&config).spawn().expect("the program starts");
+    let (mut command, config) = command(&config);
+    let mut child = command.spawn().expect("the program starts");
     let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
     let address = loop {
         let line = log.next().expect("a line that says where it serves").expect("UTF-8");
@@ -60,8 +79,9 @@
             break address.parse().expect("an address");
         }
     };
-    std::thread::spawn(move || log.for_each(drop));
-    Proxy { child, address, _discovery: discovery }
+    let (tell, lines) = std::sync::mpsc::channel();
+    std::thread::spawn(move || log.map_while(Result::ok).for_each(|line| drop(tell.send(line))));
+    Proxy { child, config, address, log: lines, _discovery: discovery }
 }
 
 struct Client(TcpStream);
@@ -200,9 +220,10 @@
 
 /// A session's read goes to a replica that has told a late enough position, and to no other.
 #[rstest]
-#[case::current(Duration::ZERO, true)]
-#[case::behind(Duration::from_secs(600), false)]
-fn no_read_is_answered_from_data_that_is_too_old(#[case] age: Duration, #[case] asked: bool) {
+#[case::current(0, true)]
+#[case::behind(600, false)]
+#[case::ahead_of_all_clocks(-600, false)]
+fn no_read_is_answered_from_data_that_is_too_old(#[case] age: i64, #[case] asked: bool) {
     let script = |text: &str| if text.starts_with("INSERT") { Say::Error("25006") } else { ok(text) };
     let (replica, primary) = (DataServer::behind(age, false, script), DataServer::start(true, ok));
     // The list is late: a write at the replica is turned away, and tells where the replica stands.
@@ -283,7 +304,9 @@
 
 #[rstest]
 #[case::no_statement(query("SELECT 1"), "EZ", "42601")]
-#[case::unknown_class(query("SELECT body FROM objects WHERE oid = 'k' /* c=none */"), "EZ", "42601")]
+#[case::unknown_class(query(&read(9).replace("own-changes", "none")), "EZ", "42601")]
+#[case::unknown_cluster(query(&read(9).replace("cluster=1", "cluster=7")), "EZ", "42601")]
+#[case::select_in_a_class_that_writes(query(&read(9).replace("own-changes", "usage-write")), "EZ", "42601")]
 #[case::insert_in_a_class_that_reads(query(&write(9).replace("usage-write", "own-changes")), "EZ", "42601")]
 #[case::extended_protocol(b"P\0\0\0\x08\0\0\0\0S\0\0\0\x04".to_vec(), "EZ", "0A000")]
 #[case::function_call(b"F\0\0\0\x04".to_vec(), "EZ", "0A000")]
@@ -306,33 +329,214 @@
     assert_eq!(kinds(&Client::connect(&proxy).ask(&read(1000))), "TDCZ", "others are served on");
 }
 
+/// Guards against a second copy of a request that is out: its id is what the data servers know it by.
+#[test]
+fn the_id_of_an_open_request_is_taken() {
+    let server = DataServer::start(true, |text| if text.contains("id=9") { Say::Nothing } else { ok(text) });
+    let proxy = start(&[server.listed("a", "read-write", "Ready")]);
+    let (mut first, mut second) = (Client::connect(&proxy), Client::connect(&proxy));
+    let held = write(3000).replace("id=2", "id=9");
+    first.send(&query(&held));
+    while server.count() == 0 {
+        std::thread::yield_now();
+    }
+    let answer = second.ask(&held);
+    assert_eq!((kinds(&answer), field(&answer, b'C').as_deref()), ("EZ".into(), Some("08P01")));
+    assert_eq!((kinds(&second.ask(&write(3000))), server.count()), ("TDCZ".into(), 2));
+}
+
+/// A client that can't be served is owed an end within 3 s of connecting; what it has begun must not keep
+/// its place for good.
+#[rstest]
+#[case::nothing(vec![], "")]
+#[case::half_a_startup_packet(startup()[..9].to_vec(), "E")]
+#[case::half_a_query([startup(), query(&read(1000))[..40].to_vec()].concat(), "RZE")]
+fn what_does_not_come_to_its_end_is_closed(#[case] bytes: Vec<u8>, #[case] shape: &str) {
+    let proxy = start(&[]);
+    let mut client = Client::raw(&proxy);
+    client.send(&bytes);
+    let answer = [client.answer(), client.answer()].concat();
+    assert_eq!(kinds(&answer), shape);
+    assert_eq!(client.0.read(&mut [0]).expect("a clean end"), 0);
+}
+
+fn greet(proxy: &Proxy) -> (Client, Answer) {
+    let mut client = Client::raw(proxy);
+    client.send(&startup());
+    let answer = client.answer();
+    (client, answer)
+}
+
 #[test]
 fn clients_over_the_limit_are_told_so_and_take_no_place() {
-    let server = DataServer::start(true, ok);
-    let proxy = start_within(64, &[server.listed("a", "read-write", "Ready")]);
-    let greet = || {
-        let mut client = Client::raw(&proxy);
-        client.send(&startup());
-        let answer = client.answer();
-        (client, answer)
-    };
+    let server = DataServer::start(true, |_| Say::Nothing);
+    let proxy = start_within(192, 64, &[server.listed("a", "read-write", "Ready")]);
     let mut clients = Vec::new();
     let refused = loop {
-        let (client, answer) = greet();
+        let (mut client, answer) = greet(&proxy);
         if kinds(&answer) != "RZ" {
             break answer;
         }
+        client.send(&query(&write(3000).replace("id=2", &format!("id={}", clients.len()))));
         clients.push(client);
         assert!(clients.len() < 64, "more clients than descriptors");
     };
     assert_eq!((kinds(&refused).as_str(), field(&refused, b'C').as_deref()), ("E", Some("53300")));
-    let first = clients.first_mut().expect("there is room for some");
-    assert_eq!(kinds(&first.ask(&read(1000))), "TDCZ", "those who are in are served");
+    (0..20).for_each(|_| drop(greet(&proxy)));
     clients.pop();
     let since = Instant::now();
-    while kinds(&greet().1) != "RZ" {
+    while kinds(&greet(&proxy).1) != "RZ" {
         assert!(since.elapsed() < PATIENCE, "the place that was left is given again");
     }
+    // Guards against a log that fills with one line for each client turned away.
+    proxy.signal("TERM");
+    let lines: Vec<_> = proxy.log.iter().collect();
+    assert!(lines.iter().filter(|line| line.contains("turned")).count() <= 2, "{lines:?}");
+}
+
+/// Guards against clients that connect and stay: they must not keep out those that have something to ask.
+#[test]
+fn the_client_that_stood_idle_longest_makes_room() {
+    let server = DataServer::start(true, ok);
+    let proxy = start_within(192, 64, &[server.listed("a", "read-write", "Ready")]);
+    let mut clients: Vec<_> = std::iter::repeat_with(|| greet(&proxy))
+        .take_while(|(_, answer)| kinds(answer) == "RZ")
+        .map(|(client, _)| client)
+        .collect();
+    assert!(clients.len() < 64, "more clients than descriptors");
+    let since = Instant::now();
+    while kinds(&greet(&proxy).1) != "RZ" {
+        assert!(since.elapsed() < PATIENCE, "room is made");
+    }
+    assert_eq!(clients[0].0.read(&mut [0]).expect("a clean end"), 0);
+    let last = clients.last_mut().expect("there is room for some");
+    assert_eq!(kinds(&last.ask(&read(1000))), "TDCZ");
+}
+
+/// Little memory must not mean few clients: what they may hold is bounded by the buffers, not by their number.
+#[test]
+fn small_limits_leave_room_for_many_clients() {
+    let server = DataServer::start(true, |_| Say::Nothing);
+    let proxy = start_within(32, 256, &[server.listed("a", "read-write", "Ready")]);
+    let clients: Vec<_> = (0..256 / 3)
+        .map(|number| {
+            let (mut client, answer) = greet(&proxy);
+            assert_eq!(kinds(&answer), "RZ");
+            client.send(&query(&write(3000).replace("id=2", &format!("id={number}"))));
+            client
+        })
+        .collect();
+    drop(clients);
+}
+
+#[test]
+fn long_statements_are_refused_where_memory_is_short() {
+    let server = DataServer::start(true, ok);
+    let proxy = start_within(1, 1024, &[server.listed("a", "read-write", "Ready")]);
+    let half = &query(&read(9).replace("'k'", &format!("'{}'", "k".repeat(140_000))))[..100_000];
+    let answers: Vec<_> = (0..8)
+        .map(|_| {
+            let mut client = Client::connect(&proxy);
+            client.send(half);
+            client
+        })
+        .collect();
+    let refused = answers.into_iter().filter_map(|mut client| field(&client.answer(), b'C'));
+    assert!(refused.into_iter().any(|code| code == "53200"));
+    assert_eq!(kinds(&Client::connect(&proxy).ask(&read(1000))), "TDCZ", "short ones are served");
+}
+
+fn changed(value: &[u8], at: usize, byte: u8) -> Vec<u8> {
+    let mut bytes = [row(value), message(b'Z', b"I")].concat();
+    bytes[at] = byte;
+    bytes
+}
+
+/// What is spoilt may have run. It is never served, proves nothing, and does not speak against its server.
+#[rstest]
+#[case::noise(vec![0x9f; 400])]
+#[case::unknown_message(changed(b"v", 0, b'!'))]
+#[case::length_that_does_not_fit(changed(b"v", 4, 200))]
+#[case::column_that_does_not_fit(changed(b"v", row(b"v").len() - 16 - 1 - 1, 9))]
+#[case::no_description(changed(b"v", 0, b'N'))]
+#[case::two_rows([&row(b"v")[..42], &row(b"v")[30..], &message(b'Z', b"I")].concat())]
+#[case::value_that_claims_3_gb([&row(b"v")[..30], b"D\xc0\0\0\0\0\x01\xbf\xff\xff\xf6", &[7; 9000]].concat())]
+#[case::half(row(b"v")[..35].to_vec())]
+#[case::bad_end([row(b"v"), message(b'Z', b"?")].concat())]
+#[case::end_without_an_answer(message(b'Z', b"I"))]
+#[case::refusal_behind_a_row([&row(b"v")[..42], &message(b'E', b"C53300\0\0"), &message(b'Z', b"I")].concat())]
+#[case::role_that_is_none([row(b"v"), message(b'S', b"mode\0read-\0"), message(b'Z', b"I")].concat())]
+fn a_spoilt_answer_is_a_failure_that_may_have_run(#[case] bytes: Vec<u8>) {
+    let server =
+        DataServer::start(
+            true,
+            move |text| {
+                if text.contains("'bad'") {
+                    Say::Raw(bytes.clone())
+                } else {
+                    ok(text)
+                }
+            },
+        );
+    let proxy = start(&[server.listed("a", "read-write", "Ready")]);
+    let mut client = Client::connect(&proxy);
+    for _ in 0..4 {
+        let before = server.count();
+        let answer = client.ask(&write(3000).replace("'k'", "'bad'"));
+        assert_eq!((kinds(&answer), field(&answer, b'C').as_deref()), ("EZ".into(), Some("08007")));
+        assert_eq!(server.count(), before + 1, "it is not sent again");
+        assert_eq!(kinds(&client.ask(&write(3000))), "TDCZ", "its server is not left out");
+    }
+}
+
+/// Guards against failing a whole value for what comes with it, and against taking that for the next answer.
+#[rstest]
+#[case::second_copy([row(b"old"), message(b'Z', b"I"), row(b"old"), message(b'Z', b"I")].concat())]
+#[case::noise([row(b"old"), message(b'Z', b"I"), vec![0x9f; 20_000]].concat())]
+#[case::unreadable_report([row(b"old"), message(b'S', b"stats\0\xff\0\xfe"), message(b'Z', b"I")].concat())]
+fn a_good_answer_is_served_whatever_comes_with_it(#[case] bytes: Vec<u8>) {
+    let server =
+        DataServer::start(
+            true,
+            move |text| {
+                if text.contains("'more'") {
+                    Say::Raw(bytes.clone())
+                } else {
+                    ok(text)
+                }
+            },
+        );
+    let proxy = start(&[server.listed("a", "read-write", "Ready")]);
+    let mut client = Client::connect(&proxy);
+    for _ in 0..4 {
+        let answer = client.ask(&write(3000).replace("'k'", "'more'"));
+        assert_eq!(kinds(&answer), "TDCZ");
+        assert!(answer.iter().any(|m| m.0 == b'D' && m.1.ends_with(b"old")));
+        let answer = client.ask(&write(3000));
+        assert!(answer.iter().any(|m| m.0 == b'D' && m.1 == *b"\0\x01\0\0\0\x01v"), "{answer:?}");
+    }
+}
+
+/// SIGHUP moves discovery to where the file says now, and keeps all else; a bad file changes nothing.
+#[test]
+fn a_new_configuration_is_followed_without_losing_a_connection() {
+    let server = DataServer::start(true, ok);
+    let listed = [server.listed("a", "read-write", "Ready")];
+    let proxy = start(&listed);
+    let mut client = Client::connect(&proxy);
+    assert_eq!(kinds(&client.ask(&write(3000))), "TDCZ");
+    let old = std::fs::read_to_string(&proxy.config).expect("it was written");
+    std::fs::write(&proxy.config, "{").expect("a writable folder");
+    proxy.signal("HUP");
+    assert!(proxy.logged("configuration").contains("WARN"));
+    assert_eq!(kinds(&client.ask(&write(3000))), "TDCZ");
+    let next = Discovery::start(listing(5, true, &listed));
+    let new = old.replace(&proxy._discovery.address.to_string(), &next.address.to_string());
+    std::fs::write(&proxy.config, new).expect("a writable folder");
+    proxy.signal("HUP");
+    let asked = next.asked.recv_timeout(PATIENCE).expect("a call");
+    assert_eq!(asked, "GET /v1/endpoints?watch=1&from=1 HTTP/1.1");
+    assert_eq!(kinds(&client.ask(&write(3000))), "TDCZ");
 }
 
 #[test]
@@ -364,9 +568,7 @@
     while server.count() == 0 {
         std::thread::yield_now();
     }
-    let kill = format!("kill {}", proxy.child.id());
-    let told = Command::new("sh").args(["-c", &kill]).status().expect("a shell runs");
-    assert!(told.success());
+    proxy.signal("TERM");
     assert_eq!(idle.0.read(&mut [0]).expect("a clean end"), 0, "closed between requests");
     tell.send(()).expect("the server waits");
     assert_eq!(kinds(&busy.answer()), "TDCZ");
@@ -385,7 +587,7 @@
 #[case::bad_figure(&include_str!("../examples/config.json").replace("0.27", "7"), "cold share")]
 #[case::no_sockets(&include_str!("../examples/config.json").replace("1024", "8"), "limits.sockets")]
 fn a_configuration_that_cannot_work_is_one_plain_line(#[case] config: &str, #[case] what: &str) {
-    let output = command(config).output().expect("the program runs");
+    let output = command(config).0.output().expect("the program runs");
     let said = String::from_utf8_lossy(&output.stderr);
     assert!(!output.status.success() && said.lines().count() == 1 && said.contains(what), "{said}");
 }
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -24,18 +24,19 @@
 fn a_read_tells_its_class_group_wait_and_position(#[case] text: &str) {
     let s = routed(text).expect("a statement");
     assert_eq!((s.write, &*s.key, &*s.class, s.group, s.retry), (false, "k1", "basket", 2, false));
-    assert_eq!((s.wait, s.after), (Some(Duration::from_millis(480)), Some(1_767_225_600_123.0)));
+    assert_eq!(s.id, "9b");
+    assert_eq!((s.wait, s.after), (Duration::from_millis(480), Some(1_767_225_600_123.0)));
     assert_eq!(&text[s.wait_at], "480");
 }
 
 #[rstest]
 #[case::plain(r"INSERT INTO objects (oid, body) VALUES ('k', '\x9f03') RETURNING body /* id=1,c=o,d=48,cluster=2,r=1 */", "k")]
 #[case::doubled_quote(
-    r"INSERT INTO objects (oid, body) VALUES ('a''b', '\x') RETURNING body /* c=o,d=48,cluster=2,r=1 */",
+    r"INSERT INTO objects (oid, body) VALUES ('a''b', '\x') RETURNING body /* id=1,c=o,d=48,cluster=2,r=1 */",
     "a''b"
 )]
 #[case::comment_in_a_key(
-    r"INSERT INTO objects(oid,body)VALUES('/*d=1*/','\x')RETURNING body/*c=o,d=48,cluster=2,r=1*/",
+    r"INSERT INTO objects(oid,body)VALUES('/*d=1*/','\x')RETURNING body/*id=1,c=o,d=48,cluster=2,r=1*/",
     "/*d=1*/"
 )]
 fn a_write_tells_its_key_and_that_it_repeats(#[case] text: &str, #[case] key: &str) {
@@ -49,16 +50,52 @@
 #[case::two_statements("SELECT body FROM objects WHERE oid = 'k' /* c=a */; SELECT 1")]
 #[case::no_comment("SELECT body FROM objects WHERE oid = 'k'")]
 #[case::open_quote("SELECT body FROM objects WHERE oid = 'k /* c=a */")]
-#[case::wait_is_no_number("SELECT body FROM objects WHERE oid = 'k' /* c=a,d=soon */")]
-#[case::wait_is_too_large("SELECT body FROM objects WHERE oid = 'k' /* c=a,d=99999999999999999999999 */")]
-#[case::position_is_not_finite("SELECT body FROM objects WHERE oid = 'k' /* c=a,after=inf */")]
-#[case::negative_group("SELECT body FROM objects WHERE oid = 'k' /* c=a,cluster=-1 */")]
 #[case::transaction("BEGIN")]
 #[case::word_that_starts_alike("SETTLE x")]
 fn what_cannot_be_routed_is_not_a_query(#[case] text: &str) {
     assert_eq!(pg::query(text.as_bytes()), None);
 }
 
+/// Guards against passing on what a data server turns away or closes on.
+#[rstest]
+#[case::complete("id=1,c=a,d=9,cluster=1", true)]
+#[case::no_id("c=a,d=9,cluster=1", false)]
+#[case::empty_id("id=,c=a,d=9,cluster=1", false)]
+#[case::id_that_is_no_word("id=1;2,c=a,d=9,cluster=1", false)]
+#[case::no_class("id=1,d=9,cluster=1", false)]
+#[case::no_wait("id=1,c=a,cluster=1", false)]
+#[case::no_group("id=1,c=a,d=9", false)]
+#[case::wait_is_no_number("id=1,c=a,d=soon,cluster=1", false)]
+#[case::wait_with_a_sign("id=1,c=a,d=+9,cluster=1", false)]
+#[case::wait_is_too_large("id=1,c=a,d=99999999999999999999999,cluster=1", false)]
+#[case::negative_group("id=1,c=a,d=9,cluster=-1", false)]
+#[case::position_is_no_number("id=1,c=a,d=9,cluster=1,after=inf", false)]
+#[case::a_name_twice("id=1,c=a,d=9,cluster=1,d=8", false)]
+fn a_comment_holds_what_routing_needs(#[case] comment: &str, #[case] good: bool) {
+    let text = format!("SELECT body FROM objects WHERE oid = 'k' /* {comment} */");
+    assert_eq!(routed(&text).is_some(), good);
+}
+
+#[test]
+fn a_query_is_text() {
+    let text = b"SELECT body FROM objects WHERE oid = '\xff' /* id=1,c=a,d=9,cluster=1 */";
+    assert_eq!(pg::query(text), None);
+}
+
+#[rstest]
+#[case::empty(r"\x", true)]
+#[case::longest(&format!(r"\x{}", "0f".repeat(pg::VALUE_MOST)), true)]
+#[case::too_long(&format!(r"\x{}", "0f".repeat(pg::VALUE_MOST + 1)), false)]
+#[case::half_a_byte(r"\x0", false)]
+#[case::no_digits(r"\xzz", false)]
+#[case::no_prefix("00", false)]
+fn a_value_is_binary_data_in_hex(#[case] value: &str, #[case] good: bool) {
+    let text = format!(
+        "INSERT INTO objects (oid, body) VALUES ('k', '{value}') RETURNING body /* id=1,c=a,d=9,cluster=1 */"
+    );
+    assert_eq!(routed(&text).is_some(), good);
+}
+
 #[rstest]
 #[case("", Query::Empty)]
 #[case(" ; \n;", Query::Empty)]
@@ -96,6 +133,7 @@
 #[case(b"SERROR\0Mno code\0\0", None)]
 #[case(b"SERROR\0C5330\0\0", None)]
 #[case(b"C53300", None)]
+#[case(b"C53300\0\0more", None)]
 #[case(b"", None)]
 fn an_error_tells_its_code(#[case] body: &[u8], #[case] code: Option<[u8; 5]>) {
     assert_eq!(pg::sqlstate(body), code);
@@ -105,14 +143,16 @@
 #[case(b"mode\0read-only\0", Some(("mode", "read-only")))]
 #[case(b"mode\0read-only", None)]
 #[case(b"mode", None)]
+#[case(b"mode\0read-only\0more", None)]
+#[case(b"mode\0\xff\0", None)]
 fn a_parameter_is_a_pair_of_strings(#[case] body: &[u8], #[case] pair: Option<(&str, &str)>) {
-    let pair = pair.map(|(name, value)| (name.to_owned(), value.to_owned()));
     assert_eq!(pg::parameter(body), pair);
 }
 
 #[rstest]
 #[case("inflight=7,util=0.61", &[("inflight", 7.0), ("util", 0.61)])]
 #[case("inflight=,x,util = 1", &[("util", 1.0)])]
+#[case("inflight=inf,util=nan", &[])]
 #[case("", &[])]
 fn a_load_report_is_a_row_of_figures(#[case] text: &str, #[case] pairs: &[(&str, f64)]) {
     assert_eq!(pg::load_report(text), pairs);
@@ -122,6 +162,8 @@
 #[case(&[0, 1, 0, 0, 0, 2, b'o', b'k'], Some(&b"ok"[..]))]
 #[case(&[0, 1, 255, 255, 255, 255], None)]
 #[case(&[0, 1, 0, 0, 0, 9, b'o'], None)]
+#[case(&[0, 1, 0, 0, 0, 1, b'o', b'k'], None)]
+#[case(&[0, 2, 0, 0, 0, 2, b'o', b'k'], None)]
 fn the_only_column_is_read_by_its_length(#[case] body: &[u8], #[case] column: Option<&[u8]>) {
     assert_eq!(pg::only_column(body), column);
 }
