--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -22,6 +22,7 @@
 use super::buffers::{write_all, Chain, Pool};
 use super::exchange::{Clock, Ending, Exchange, Key, Order, Send};
 use super::pg;
+use crate::estimate::{Gauge, Memory};
 use crate::interface::*;
 use crate::settings::Env;
 
@@ -34,6 +35,43 @@
 /// A position ahead of the clock by more than this is none.
 const AHEAD_MOST: Duration = Duration::from_secs(1);
 
+/// Idle time up to which connections are young; what befalls them has other causes. The ages beyond it double.
+const YOUNG: Duration = Duration::from_millis(64);
+const AGES: usize = 8;
+/// How much more often than young ones older connections may break at their next query.
+const WORN: (f64, f64) = (2.0, 0.1);
+/// A share of breaks averages over 60 queries, forgets in 20 s, and weighs what is usual like 3 of its own.
+const BREAKS: Memory = Memory { most: 60.0, fade: 20.0, prior: 3.0 };
+
+/// How connections that were kept have fared at their next query, by how long they had stood idle. Guards
+/// against peers, or machines on the way, that drop a connection much sooner than the settings say, and tell
+/// so by a reset when the query is on its way. Harms by handshakes where the resets had another cause.
+#[derive(Default)]
+pub struct Wear {
+    young: Gauge,
+    old: [Gauge; AGES],
+}
+
+impl Wear {
+    fn age(stood: Duration) -> Option<usize> {
+        let doublings = (stood.as_secs_f64() / YOUNG.as_secs_f64()).log2().floor();
+        (doublings >= 0.0).then_some((doublings as usize).min(AGES - 1))
+    }
+
+    /// Learns, at a time in seconds, whether a connection broke that had stood so long.
+    pub fn learn(&mut self, now: f64, stood: Duration, broke: bool) {
+        let gauge = Self::age(stood).map_or(&mut self.young, |age| &mut self.old[age]);
+        gauge.learn(now, f64::from(u8::from(broke)), &BREAKS);
+    }
+
+    /// The idle time from which on a connection had better not be used again, if there is one.
+    pub fn most(&self, now: f64) -> Option<Duration> {
+        let usual = self.young.read(now, 0.0, &BREAKS);
+        let worn = |gauge: &Gauge| gauge.read(now, usual, &BREAKS) > WORN.0 * usual + WORN.1;
+        self.old.iter().position(worn).map(|age| YOUNG * (1 << age))
+    }
+}
+
 /// A client's query on its way: the message as it came, and where its `d` stands.
 pub struct Query {
     /// The whole message, from its type to the zero byte that ends its text.
@@ -113,6 +151,7 @@
     sockets: Arc<Semaphore>,
     /// How many wait for a socket.
     waiting: Cell<usize>,
+    wear: RefCell<Wear>,
     attempts: RefCell<HashMap<Key, AbortHandle>>,
 }
 
@@ -132,6 +171,7 @@
         idle: RefCell::default(),
         sockets,
         waiting: Cell::new(0),
+        wear: RefCell::default(),
         attempts: RefCell::default(),
     });
     let mut sweep = tokio::time::interval(Duration::from_secs(1));
@@ -195,8 +235,14 @@
     }
 
     fn is_fresh(&self, connection: &Connection) -> bool {
+        let stood = connection.idle_since.elapsed();
         let most = self.options.conn_idle;
-        most.is_zero() || connection.idle_since.elapsed() < most
+        (most.is_zero() || stood < most)
+            && self.wear.borrow().most(self.now()).is_none_or(|most| stood < most)
+    }
+
+    fn now(&self) -> f64 {
+        self.exchange.clock().now().as_secs_f64()
     }
 
     async fn attempt(&self, send: &Send<Query>) -> Ending<Answer> {
@@ -233,9 +279,16 @@
             return Ok(Ending::without_answer(Outcome::Moot));
         }
         let left = send.until.saturating_duration_since(Instant::now());
-        send_query(&connection.stream, &send.query, left).await?;
-        stage.set(Stage::Written);
-        let reply = self.reply(&connection.stream, Asked::Statement).await?;
+        let stood = connection.idle_since.elapsed();
+        let asked = async {
+            send_query(&connection.stream, &send.query, left).await?;
+            stage.set(Stage::Written);
+            self.reply(&connection.stream, Asked::Statement).await
+        };
+        let reply = asked.await;
+        let broke = reply.as_ref().is_err_and(|e| e.kind() != io::ErrorKind::InvalidData);
+        self.wear.borrow_mut().learn(self.now(), stood, broke);
+        let reply = reply?;
         if reply.reusable() {
             self.give_back(send.server, connection);
         }
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -5,6 +5,7 @@
 use common::*;
 use pipittack::interface::*;
 use pipittack::net::exchange::{Call, Clock, Ending, Exchange, Final, Key, Order, Parts, Send};
+use pipittack::net::servers::Wear;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 type Books = Exchange<&'static str, &'static str>;
@@ -128,6 +129,27 @@
     assert!(at_replica > 0, "{at_replica} reads at replicas, {at_primary} at the primary");
 }
 
+/// Guards against peers that drop idle connections long before the settings say, and against blaming age for
+/// resets that befall young connections as well.
+#[rstest::rstest]
+#[case::dropped_when_old(0.0, 0.5, true)]
+#[case::seldom(0.03, 0.05, false)]
+#[case::as_often_as_young_ones(0.4, 0.4, false)]
+fn connections_are_kept_as_long_as_they_last(#[case] young: f64, #[case] old: f64, #[case] worn: bool) {
+    let mut wear = Wear::default();
+    let (mut breaks, mut now) = ([0.0, 0.0], 0.0);
+    for _ in 0..100 {
+        for (due, (share, stood)) in breaks.iter_mut().zip([(young, 10), (old, 300)]) {
+            *due += share;
+            wear.learn(now, ms(stood), *due >= 1.0);
+            *due %= 1.0;
+        }
+        now += 0.01;
+    }
+    assert_eq!(wear.most(now), worn.then_some(ms(256)));
+    assert_eq!(wear.most(now + 100.0), None, "it is tried again after a while");
+}
+
 #[test]
 fn positions_keep_their_order_on_the_clock() {
     let clock = Clock::start();
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -462,6 +462,19 @@
     assert!(!to.is_empty() && !to.contains(&silent.0), "{to:?}, though {silent:?} gave no answer");
 }
 
+/// Guards against leaving out a server for a connection that broke by itself, above all a primary.
+#[test]
+fn one_broken_connection_condemns_no_server_and_two_in_a_row_do() {
+    let mut b = Bench::new(settings());
+    b.hear_all(ms(10));
+    for broken in 1..=2 {
+        assert_eq!(targets(&b.call(ONCE)), [1]);
+        let after = b.end(Outcome::Reset, None, ms(0));
+        let down = after.iter().any(|a| matches!(a, Action::Log(text) if text.contains("gives no answers")));
+        assert_eq!(down, broken == 2);
+    }
+}
+
 #[test]
 fn errors_that_follow_a_tenant_are_final_and_condemn_no_server() {
     let mut s = settings();
