Count half what was lost while its server answered others

No reset and no refused connect was among the losses; the 54 to 147 time-outs of each 5 s alone had taken servers out, one each. At fault: learn_server gives a time-out ln(1/0.03) = 3.5 against a bound of 2, whatever the server has answered since. A server heard after the attempt was sent is not hung; such a loss now counts half, like a broken connection.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -47,7 +47,7 @@
 const MEMORY: Memory = Memory { most: 10.0, fade: 10.0, prior: 2.0 };
 
 const DOUBT_MOST: f64 = 2.0; // log odds against a server from which on it is down
-const RESET_WEIGHT: f64 = 0.5; // of a broken connection as evidence: two in a row are needed
+const WEAK_EVIDENCE: f64 = 0.5; // weight of a loss that may be its connection's alone: two are needed
 const LOST_USUAL: f64 = 0.03; // share of attempts that end without an answer in good times
 const ERRORS_OWN: f64 = 0.15; // of a tenant's answers that are errors, at least, for them to be its own doing
 const TRIAL_SHARE: f64 = 0.05; // of a gateway's requests that are spent on trials of one server
@@ -519,8 +519,9 @@
         } else if lost {
             // Speaks against its server the more, the rarer such ends are. Guards against dead, hung and
             // cut off servers where few requests tell, and against blaming one for what ails all. A broken
-            // connection alone condemns none: a dead server breaks all of them, or refuses the next one.
-            let weight = if outcome == Outcome::Reset { RESET_WEIGHT } else { 1.0 };
+            // connection alone condemns none, nor an attempt since whose sending its server has answered others.
+            let weak = outcome == Outcome::Reset || server.heard > flight.sent;
+            let weight = if weak { WEAK_EVIDENCE } else { 1.0 };
             server.doubt += weight * (1.0 / common).ln();
             if let Some(down) = &mut server.down {
                 down.trial_at = down.trial_at.max(now + down.pause);
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -475,6 +475,28 @@
     }
 }
 
+/// Guards against leaving out a server for an attempt whose connection alone fell silent, or whose work was long.
+#[test]
+fn an_attempt_lost_while_its_server_answered_others_condemns_it_not() {
+    for answered in [false, true] {
+        let mut b = Bench::new(many());
+        b.hear_all(ms(10));
+        b.call(ANY);
+        let (r, a, server) = b.sent.remove(0);
+        b.pass(ms(100));
+        while answered && !b.sent.iter().any(|s| s.2 == server) {
+            b.call(ANY);
+        }
+        if let Some((r, a, _)) = b.sent.iter().find(|s| s.2 == server).copied() {
+            b.end_of(r, a, server, Outcome::Ok, Some(server == ServerId(1)), ms(0));
+        }
+        b.pass(ms(900));
+        let after = b.end_of(r, a, server, Outcome::Timeout, None, ms(0));
+        let down = after.iter().any(|a| matches!(a, Action::Log(text) if text.contains("gives no answers")));
+        assert_eq!(down, !answered);
+    }
+}
+
 #[test]
 fn errors_that_follow_a_tenant_are_final_and_condemn_no_server() {
     let mut s = settings();
