--- a/src/decide.rs
+++ b/src/decide.rs
@@ -519,7 +519,7 @@
         } else if lost {
             // Speaks against its server the more, the rarer such ends are. Guards against dead, hung and
             // cut off servers where few requests tell, and against blaming one for what ails all. A broken
-            // connection alone condemns none, nor an attempt since whose sending its server has answered others.
+            // connection alone condemns none, nor an attempt whose server has answered others since.
             let weak = outcome == Outcome::Reset || server.heard > flight.sent;
             let weight = if weak { WEAK_EVIDENCE } else { 1.0 };
             server.doubt += weight * (1.0 / common).ln();
