Answer the operators' calls, hold their bans, and hand the door to a successor

The second process ended with 'address already in use' (clients.rs, listen), nothing listened for calls (main.rs, serve), and so no ban and no drain was ever heard of. Ruled out: SO_REUSEPORT alone, whose closing listener drops its queue.

net/ops.rs answers calls; bans reach the module as events Offline and Online (decide.rs, put_out and call_back) and are kept in the state directory. net/handover.rs hands over the listener and, after SIGTERM, each connection that stands between requests. An attempt that has not begun 1.5 s after its order is decided on again (servers.rs, converse), since its server may drain by then.

--- a/src/decide.rs
+++ b/src/decide.rs
@@ -5,7 +5,7 @@
 //! is refused; a read goes to the less busy of two random replicas that are fresh enough. All else in this
 //! file is an exception for when that breaks; `docs/design.md` says when each one acts.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
@@ -128,6 +128,7 @@
     clock: Clock,
     now: f64,
     servers: BTreeMap<ServerId, Server>,
+    out_by_hand: BTreeSet<ServerId>,
     groups: BTreeMap<GroupId, Group>,
     pending: BTreeMap<RequestId, Pending>,
     flights: BTreeMap<(RequestId, u32), Flight>,
@@ -162,6 +163,7 @@
             crowd: f64::from(settings.gateways) * WINDOW_LEAST > WINDOW_START,
             cfg: settings,
             servers: BTreeMap::new(),
+            out_by_hand: BTreeSet::new(),
             groups: BTreeMap::new(),
             pending: BTreeMap::new(),
             flights: BTreeMap::new(),
@@ -185,6 +187,8 @@
     fn learn(&mut self, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::View(view) => self.learn_view(view),
+            Event::Offline(server) => self.put_out(server),
+            Event::Online(server) => self.call_back(server),
             Event::Request(request) => self.accept(request, actions),
             Event::Ended(ended) => self.learn_outcome(ended, actions),
             Event::Started { request, .. } => {
@@ -205,6 +209,22 @@
         }
     }
 
+    /// The operators took a server out: it drains, whatever the list says, until they call it back.
+    fn put_out(&mut self, id: ServerId) {
+        self.out_by_hand.insert(id);
+        self.servers.entry(id).and_modify(|s| s.out_by_hand = true);
+        self.groups.values_mut().filter(|g| g.primary == Some(id)).for_each(|g| g.primary = None);
+    }
+
+    /// It may serve again. Its process may have started anew, so it counts as cold and behind.
+    fn call_back(&mut self, id: ServerId) {
+        let known = self.out_by_hand.remove(&id);
+        let Some(server) = self.servers.get_mut(&id).filter(|_| known) else { return };
+        (server.out_by_hand, server.down, server.doubt) = (false, None, 0.0);
+        (server.started, server.budget, server.lag) = (Some(self.now), 1.0, f64::INFINITY);
+        server.window = Window::new(self.now, 1.0 / f64::from(self.cfg.gateways));
+    }
+
     fn learn_view(&mut self, view: View) {
         self.clock.watching = matches!(view, View::Changes(_) | View::All(_));
         let (entries, full) = match view {
@@ -239,7 +259,7 @@
             if entry.head && !server.head && group.primary != Some(entry.server) {
                 // The list is late: it names a primary only to a gateway that knows none of its own.
                 group.cursor = group.primary.is_none().then_some(entry.server);
-                if group.primary.is_none() && server.replica_at.is_none() && !server.barred {
+                if group.primary.is_none() && server.replica_at.is_none() && !server.closed() {
                     group.primary = Some(entry.server);
                 }
             }
@@ -249,9 +269,10 @@
         self.groups.values_mut().for_each(|g| g.members.clear());
         for (id, server) in &mut self.servers {
             server.barred |= !server.listed && !only_draining;
+            server.out_by_hand = self.out_by_hand.contains(id);
             let group = self.groups.entry(server.group).or_default();
             group.members.push(*id);
-            if server.barred && group.primary == Some(*id) {
+            if server.closed() && group.primary == Some(*id) {
                 group.primary = None;
             }
         }
@@ -571,7 +592,7 @@
             return;
         }
         self.clock.judged = now;
-        let told = self.servers.values().filter(|s| !s.barred).map(|s| s.position);
+        let told = self.servers.values().filter(|s| !s.closed()).map(|s| s.position);
         let behind = told.fold(f64::INFINITY, f64::min); // what all have passed can't matter any more
         self.sessions.retain(|_, commit| *commit > behind);
         for server in self.servers.values_mut() {
@@ -594,7 +615,7 @@
             let most = (rate * secs(contract.overload_for) * 0.5).max(1.0);
             server.budget = (server.budget + rate * self.clock.elapsed).min(most);
             let trial = server.down.as_ref().is_some_and(|d| now >= d.trial_at && !d.probed);
-            if trial && self.cfg.limits.probes && !server.probing && server.listed {
+            if trial && self.cfg.limits.probes && !server.probing && server.listed && !server.out_by_hand {
                 server.probing = true;
                 actions.push(Action::Probe { server: id });
             }
@@ -605,7 +626,7 @@
     /// one manages, however few are taken to be up.
     fn pace(&mut self) -> f64 {
         let fade = (-self.clock.elapsed / MEMORY.fade).exp();
-        let warm = |s: &&Server| !s.barred && s.cold(self.now, &self.cfg.contract) >= 1.0;
+        let warm = |s: &&Server| !s.closed() && s.cold(self.now, &self.cfg.contract) >= 1.0;
         let rated: f64 = self.servers.values().filter(warm).map(|s| s.rating).sum();
         self.answers = (self.answers.0 * fade, self.answers.1 * fade + self.clock.elapsed * rated);
         self.answers.0 / self.answers.1.max(1e-9)
@@ -632,7 +653,7 @@
             }
             let length = queued.entry(group).or_default();
             *length += 1.0;
-            let windows = self.members(group).filter(|(_, s)| !s.barred).map(|(_, s)| s.window.max);
+            let windows = self.members(group).filter(|(_, s)| !s.closed()).map(|(_, s)| s.window.max);
             let room = QUEUE_PER_WINDOW * windows.sum::<f64>().max(WINDOW_START);
             if *length > room {
                 self.finish(id, actions);
@@ -666,7 +687,8 @@
     fn unplaced(&self, p: &Pending) -> bool {
         let write = self.cfg.classes[p.request.class.0].need == Need::Write;
         let primary = self.groups.get(&p.request.group).and_then(|g| g.primary);
-        let up = primary.and_then(|i| self.servers.get(&i)).is_some_and(|s| s.down.is_none());
+        let up =
+            primary.and_then(|i| self.servers.get(&i)).is_some_and(|s| s.down.is_none() && !s.out_by_hand);
         let reached = p.ran.is_some() || !p.turned_away.is_empty();
         write && !up && !reached && self.now >= p.arrived + PLACED_WITHIN * (p.deadline - p.arrived)
     }
@@ -694,7 +716,7 @@
             || class.need == Need::Write
             || (primary && server.replica_at.is_none())
             || server.position >= self.required(p);
-        server.group == p.request.group && !server.barred && scope && cold && current
+        server.group == p.request.group && !server.closed() && scope && cold && current
     }
 
     fn required(&self, p: &Pending) -> f64 {
@@ -714,7 +736,7 @@
         let p = self.pending.get(&id)?;
         let group = self.groups.get(&p.request.group)?;
         if let Some((primary, server)) = group.primary.and_then(|i| Some((i, self.servers.get(&i)?))) {
-            if server.down.is_none() {
+            if server.down.is_none() && !server.out_by_hand {
                 let fits = server.has_room(now) && self.permitted(p, primary, server);
                 return fits.then(|| (primary, self.timeout(p, server)));
             }
@@ -789,7 +811,7 @@
         // Where replicas don't check, one of unknown position is asked first. Guards against all bounded and
         // session reads ending at the primary where answers are rare. Harms by its price.
         if fresh.is_empty() && !guess && self.crowd && self.cfg.limits.probes {
-            let free = |s: &(ServerId, &Server)| s.1.down.is_none() && !s.1.barred && s.1.has_room(now);
+            let free = |s: &(ServerId, &Server)| s.1.down.is_none() && !s.1.closed() && s.1.has_room(now);
             let replicas = self.members(p.request.group).filter(|s| replica(s) && free(s));
             if replicas.clone().any(|(_, s)| s.probing && now - s.asked < ASK_WAIT) {
                 return None;
@@ -899,6 +921,11 @@
         Self { zone, group, budget: 1.0, oldest: f64::INFINITY, window, ..Self::default() }
     }
 
+    /// Nothing new may go there: the list says so, or the operators do.
+    fn closed(&self) -> bool {
+        self.barred || self.out_by_hand
+    }
+
     fn slowness_at(&self, now: f64) -> f64 {
         self.slowness.read(now, 1.0, &MEMORY)
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -454,6 +454,10 @@
 pub enum Event {
     /// News of the server list.
     View(View),
+    /// The operators took a server out by hand: whatever the list says, it drains until they call it back.
+    Offline(ServerId),
+    /// They called it back; its process may have started anew.
+    Online(ServerId),
     /// A request arrived.
     Request(Request),
     /// An attempt ended.
--- a/src/main.rs
+++ b/src/main.rs
@@ -5,9 +5,12 @@
 
 mod logger;
 
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
@@ -17,17 +20,22 @@
 use pipittack::net::clients::{self, Clients};
 use pipittack::net::discovery::{self, Lister};
 use pipittack::net::exchange::{Clock, Exchange};
+use pipittack::net::handover::{self, Shares};
+use pipittack::net::ops::{self, Bans, Control};
 use pipittack::net::servers;
 use pipittack::settings::{Config, Env, SOCKETS_LEAST};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
+use tokio::time::timeout;
 
 /// Descriptors for all that is neither a client nor a data server: standard streams, the listener, discovery,
 /// the runtime's own, and clients that are turned away.
 const RESERVE: usize = 48;
 /// Part of the rest that is for clients.
 const CLIENT_SHARE: f64 = 0.55;
+/// Time after which a process is ready without news of discovery.
+const LISTED_WITHIN: Duration = Duration::from_millis(4500);
 /// After SIGTERM, time for which new clients still come.
 const FAREWELL: Duration = Duration::from_millis(450);
 /// Time past the longest deadline after which a run that is to end ends. With the farewell it must stay under
@@ -49,6 +57,12 @@
     Serve {
         #[command(flatten)]
         file: ConfigFile,
+        /// Where the operators' calls are answered, in place of `ops` in the configuration
+        #[arg(long, env = "GW_OPS", value_name = "ADDRESS")]
+        ops: Option<SocketAddr>,
+        /// The folder for what a successor of this process must know; without it, nothing is kept
+        #[arg(long, env = "TMPDIR", value_name = "DIR")]
+        state_dir: Option<PathBuf>,
         /// The least important lines to log
         #[arg(long, env = "GW_LOG", default_value_t = LevelFilter::Info)]
         log_level: LevelFilter,
@@ -86,7 +100,9 @@
         Command::CheckConfig { file } => file.read().map(|(config, settings, _)| {
             println!("{}: {} classes, listens at {}", config.name, settings.classes.len(), config.listen);
         }),
-        Command::Serve { file, log_level } => start(&file, log_level),
+        Command::Serve { file, ops, state_dir, log_level } => {
+            start(&Start { file, ops, state_dir }, log_level)
+        }
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
@@ -97,17 +113,24 @@
     }
 }
 
-fn start(file: &ConfigFile, log_level: LevelFilter) -> Result<(), String> {
-    let config = file.read()?;
+/// What a run starts with.
+struct Start {
+    file: ConfigFile,
+    ops: Option<SocketAddr>,
+    state_dir: Option<PathBuf>,
+}
+
+fn start(start: &Start, log_level: LevelFilter) -> Result<(), String> {
+    let config = start.file.read()?;
     logger::install(&config.0.name, log_level);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
-    let done = LocalSet::new().block_on(&runtime, serve(file, config));
+    let done = LocalSet::new().block_on(&runtime, serve(start, config));
     log::logger().flush();
     done
 }
 
-async fn serve(file: &ConfigFile, (config, settings, env): (Config, Settings, Env)) -> Result<(), String> {
+async fn serve(start: &Start, (config, settings, env): (Config, Settings, Env)) -> Result<(), String> {
     let clock = Clock::start();
     let pool = Pool::new((config.limits.memory_mb as f64 * 1e6 * BUFFER_SHARE) as usize);
     let seed = config.seed().map_err(|e| e.to_string())?;
@@ -118,8 +141,27 @@
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
-    let listener =
-        clients::listen(config.listen).map_err(|e| format!("can't listen at {}: {e}", config.listen))?;
+    // Other proxies may have the same folder: what is kept there goes by this one's name and address.
+    let kept = |ending: &str| {
+        let name = format!("pipittack-{}-{}.{ending}", config.name, config.listen);
+        start.state_dir.as_ref().map(|dir| dir.join(name))
+    };
+    let path = kept("sock");
+    let heritage = match &path {
+        Some(path) => handover::inherit(path).await,
+        None => None,
+    };
+    let (listener, heritage) = match heritage {
+        Some((listener, heritage)) => (listener, Some(heritage)),
+        None => {
+            let listener = clients::listen(config.listen);
+            (listener.map_err(|e| format!("can't listen at {}: {e}", config.listen))?, None)
+        }
+    };
+    let ops = match start.ops.or(config.ops) {
+        Some(at) => Some(ops::listen(at).await.map_err(|e| format!("can't listen at {at}: {e}"))?),
+        None => None,
+    };
     let address = listener.local_addr().map_err(|e| format!("can't listen: {e}"))?;
 
     let to_servers = servers::Options::new(&settings, &env, sockets - for_clients);
@@ -130,37 +172,77 @@
     };
     let (exchange, orders, asks) =
         Exchange::new(settings, seed, clock).map_err(|e| format!("settings: {e}"))?;
-    let mut lister = Lister::new(env.names, clock);
+    let lister = Rc::new(RefCell::new(Lister::new(env.names, clock)));
+    let clients = Clients::new(exchange.clone(), to_clients, pool.clone());
+    let control = Rc::new(Control {
+        exchange: exchange.clone(),
+        lister: lister.clone(),
+        clients: clients.clone(),
+        bans: Bans::new(kept("json")),
+        ready: Cell::new(false),
+    });
+    control.look();
     if let Some(known) = config.known {
-        let (view, addresses) = lister.read(known, true);
+        let (view, addresses) = lister.borrow_mut().read(known, true);
         exchange.listed(view, addresses);
     }
-    let clients = Clients::new(exchange.clone(), to_clients, pool.clone());
-    spawn_local(servers::run(exchange.clone(), orders, to_servers, pool));
+    spawn_local(servers::run(exchange.clone(), orders, to_servers, pool.clone()));
     let (moved, service) = watch::channel(config.discovery);
     spawn_local(discovery::run(exchange.clone(), asks, service, lister));
     exchange.step();
+    if let Some(listener) = ops {
+        let at = listener.local_addr().map_err(|e| format!("can't listen: {e}"))?;
+        log::info!("calls are answered at {at}");
+        let followed = control.clone();
+        spawn_local(async move { followed.follow().await });
+        spawn_local(ops::run(listener, control.clone(), pool.clone()));
+    }
     let driver = exchange.clone();
     spawn_local(async move { driver.run().await });
-    let door = clients.clone();
-    let door = spawn_local(async move { door.run(listener).await });
-    log::info!("serving at {address}");
+    let shares = Rc::new(Shares { clients: clients.clone(), exchange: exchange.clone(), pool });
+    if let Some(path) = path {
+        let listener = listener.as_fd().try_clone_to_owned().map_err(|e| format!("can't listen: {e}"))?;
+        spawn_local(handover::run(path, listener, shares.clone()));
+    }
+    let succeeds = heritage.is_some();
+    if let Some(heritage) = heritage {
+        clients.set_limit(Some(heritage.clients));
+        shares.divide(true);
+        spawn_local(async move { heritage.follow(&shares).await });
+    }
+    let (door, opened) = (clients.clone(), control.clone());
+    let prepare = async move {
+        let _ = timeout(LISTED_WITHIN, opened.listed()).await;
+        opened.ready.set(true);
+    };
+    let door = spawn_local(async move {
+        // A successor lets the other process serve until it can do so itself.
+        if succeeds {
+            prepare.await;
+        } else {
+            spawn_local(prepare);
+        }
+        log::info!("serving at {address}");
+        door.run(listener).await;
+    });
 
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(file, &moved),
+            _ = hangup.recv() => reload(&start.file, &moved),
         }
     }
     log::info!("told to end; {} requests open", exchange.open_requests());
-    tokio::time::sleep(FAREWELL).await;
+    if !clients.has_successor() {
+        tokio::time::sleep(FAREWELL).await;
+    }
     clients.close();
     let finished = async {
         let _ = door.await;
         clients.gone().await;
     };
-    if tokio::time::timeout(longest + OVERTIME, finished).await.is_err() {
+    if timeout(longest + OVERTIME, finished).await.is_err() {
         log::warn!("ended with {} requests open", exchange.open_requests());
     }
     Ok(())
--- a/src/net/buffers.rs
+++ b/src/net/buffers.rs
@@ -25,8 +25,9 @@
 struct Stock {
     unused: Vec<Buffer>,
     lent: usize,
-    /// Buffers that may be lent before they are short.
+    /// Buffers that may be lent before they are short, and the part of them that counts now.
     most: usize,
+    part: f64,
 }
 
 impl Default for Pool {
@@ -39,14 +40,19 @@
 impl Pool {
     /// A pool that is meant to lend so many bytes at the most.
     pub fn new(bytes: usize) -> Self {
-        Self(Rc::new(RefCell::new(Stock { unused: Vec::new(), lent: 0, most: bytes / SIZE })))
+        Self(Rc::new(RefCell::new(Stock { unused: Vec::new(), lent: 0, most: bytes / SIZE, part: 1.0 })))
     }
 
     /// Whether more than this part of what may be lent is lent. One buffer for each socket is always to be
     /// had; whoever wants more asks first.
     pub fn is_short(&self, part: f64) -> bool {
         let stock = self.0.borrow();
-        stock.lent as f64 > stock.most as f64 * part
+        stock.lent as f64 > stock.most as f64 * stock.part * part
+    }
+
+    /// Leaves all but this part of the buffers to another process.
+    pub fn set_part(&self, part: f64) {
+        self.0.borrow_mut().part = part;
     }
 
     /// An empty chain that takes its buffers from here.
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -19,6 +19,7 @@
 
 use super::buffers::{self, write_all, Chain, Pool};
 use super::exchange::{Call, Final};
+use super::handover::Successor;
 use super::pg::{self, Severity, Startup};
 use super::servers::{PgExchange, Query};
 use crate::interface::*;
@@ -41,6 +42,9 @@
 const LINGER_BYTES: usize = 1 << 20;
 /// Clients over the limit that are told so at the same time; what exceeds them is closed without a word.
 const TURNED_AWAY_MOST: usize = 16;
+/// Time for which clients still come after the front was told to send no more: it asks each 0.1 s, and sends
+/// some for 0.2 s after that.
+const STILL_COME: Duration = Duration::from_millis(600);
 /// Time between warnings of one kind.
 const WARN_EVERY: Duration = Duration::from_secs(10);
 const BACKLOG: u32 = 1024;
@@ -66,6 +70,10 @@
     /// The connections, by the number in which they came.
     connected: RefCell<HashMap<u64, AbortHandle>>,
     taken: Cell<u64>,
+    /// How many there may be, while another process has a part of them.
+    limit: Cell<Option<usize>>,
+    /// Takes over those that stand between requests, once the door is closed.
+    successor: RefCell<Option<Successor>>,
     /// Those that have asked nothing yet, and those that stand between requests, each with since when.
     silent: Standing,
     idle: Standing,
@@ -74,7 +82,22 @@
     /// Ids of the requests that are open.
     ids: RefCell<HashSet<String>>,
     left: Notify,
-    closing: watch::Sender<bool>,
+    door: watch::Sender<Door>,
+    /// How often the door was moved by the operators.
+    moved: Cell<u64>,
+}
+
+/// How far the door stands open.
+#[derive(Debug, Clone, Copy, PartialEq, PartialOrd)]
+enum Door {
+    /// To all.
+    Open,
+    /// The front is told to send no more; who still comes is served.
+    Announced,
+    /// Connections end as soon as they stand between requests, and new ones at once.
+    SentAway,
+    /// The same for good, and nobody listens.
+    Closed,
 }
 
 /// Since when connections have stood without an open request, and their numbers.
@@ -84,10 +107,11 @@
 #[derive(Clone)]
 pub struct Clients(Rc<Side>);
 
-/// Listens at an address, which a predecessor may have left a moment ago.
+/// Listens at an address, which a predecessor may have left a moment ago, or may still have.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
+    socket.set_reuseport(true)?;
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
@@ -102,26 +126,30 @@
             scratch: RefCell::default(),
             connected: RefCell::default(),
             taken: Cell::new(0),
+            limit: Cell::default(),
+            successor: RefCell::default(),
             silent: RefCell::default(),
             idle: RefCell::default(),
             turned_away: Cell::new((0, None)),
             ids: RefCell::default(),
             left: Notify::new(),
-            closing: watch::Sender::new(false),
+            door: watch::Sender::new(Door::Open),
+            moved: Cell::new(0),
         }))
     }
 
     /// Takes in clients until [`Self::close`]. Must run inside a [`tokio::task::LocalSet`].
     pub async fn run(&self, listener: TcpListener) {
-        let mut closing = self.0.closing.subscribe();
+        let mut door = self.0.door.subscribe();
         loop {
             tokio::select! {
                 accepted = listener.accept() => self.admit(accepted).await,
-                _ = closing.wait_for(|closing| *closing) => break,
+                _ = door.wait_for(|door| *door == Door::Closed) => break,
             }
         }
-        // Who stands in the queue has been accepted by this machine: it is taken in before the queue goes.
-        loop {
+        // Who stands in the queue has been accepted by this machine: it is taken in before the queue goes,
+        // unless a successor has the same queue.
+        while !self.has_successor() {
             tokio::select! {
                 biased;
                 accepted = listener.accept() => self.admit(accepted).await,
@@ -132,7 +160,38 @@
 
     /// Stops taking in clients, and closes connections as soon as they stand between requests.
     pub fn close(&self) {
-        self.0.closing.send_replace(true);
+        self.0.door.send_replace(Door::Closed);
+    }
+
+    /// Has the front send its clients elsewhere: empty queries get an error from now on, and who is here is
+    /// served and then let go. The process goes on.
+    pub fn send_away(&self) {
+        if self.is_out_of_service() {
+            return;
+        }
+        self.move_door(Door::Announced);
+        let (clients, moved) = (self.clone(), self.0.moved.get());
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(STILL_COME).await;
+            if clients.0.moved.get() == moved {
+                clients.move_door(Door::SentAway);
+            }
+        });
+    }
+
+    /// Takes clients again after [`Self::send_away`].
+    pub fn take_again(&self) {
+        self.move_door(Door::Open);
+    }
+
+    /// Whether clients are sent away.
+    pub fn is_out_of_service(&self) -> bool {
+        *self.0.door.borrow() != Door::Open
+    }
+
+    fn move_door(&self, to: Door) {
+        self.0.moved.set(self.0.moved.get() + 1);
+        self.0.door.send_if_modified(|door| *door != Door::Closed && std::mem::replace(door, to) != to);
     }
 
     /// Waits until all clients are gone.
@@ -151,7 +210,7 @@
                 return tokio::time::sleep(Duration::from_millis(20)).await;
             }
         };
-        let (side, limit) = (self.0.clone(), self.0.options.clients);
+        let (side, limit) = (self.0.clone(), self.limit());
         let connected = || side.connected.borrow().len();
         let room = connected() as f64 >= limit as f64 * CROWDED && side.make_room();
         let full = connected() >= limit && !room;
@@ -161,18 +220,65 @@
         if connected() >= limit + TURNED_AWAY_MOST {
             return tokio::task::yield_now().await; // those that were closed must get to go
         }
+        self.spawn(stream, Stage::New { full });
+    }
+
+    /// Serves a connection in a task of its own, from a stage on.
+    fn spawn(&self, stream: TcpStream, stage: Stage) {
+        let side = self.0.clone();
         let number = side.taken.get() + 1;
         side.taken.set(number);
         let place = Place(side.clone(), number);
         let task = tokio::task::spawn_local(async move {
             let side = &*place.0;
-            let mut client = Client { inbound: side.pool.chain(), side, number, stream, asked: false };
-            if let Err(e) = client.serve(full).await {
-                log::debug!("client connection: {e}");
+            let inbound = side.pool.chain();
+            let mut client = Client { inbound, side, number, stream, stage, asked: false, leaves: false };
+            if let Err(e) = client.serve().await {
+                return log::debug!("client connection: {e}");
+            }
+            let Client { stream, stage, leaves: true, .. } = client else { return };
+            let successor = side.successor.borrow().clone();
+            let Some(successor) = successor.filter(|_| *side.door.borrow() == Door::Closed) else { return };
+            match successor.take(stream, stage == Stage::Started).await {
+                Ok(()) => side.limit.set(side.limit.get().map(|limit| limit.saturating_sub(1))),
+                Err(e) => log::debug!("client connection: can't be handed over: {e}"),
             }
         });
         side.connected.borrow_mut().insert(number, task.abort_handle());
     }
+
+    /// Takes over a connection that stands between requests; `started` if its startup is done.
+    pub fn adopt(&self, stream: TcpStream, started: bool) {
+        self.0.limit.set(self.0.limit.get().map(|limit| limit + 1));
+        self.spawn(stream, if started { Stage::Started } else { Stage::New { full: false } });
+    }
+
+    /// How many clients there may be.
+    pub fn limit(&self) -> usize {
+        self.0.limit.get().unwrap_or(self.0.options.clients)
+    }
+
+    /// Sets that while another process has its part; none gives all back.
+    pub fn set_limit(&self, limit: Option<usize>) {
+        self.0.limit.set(limit);
+    }
+
+    /// Keeps to half of the places, or to what is taken if that is more; gives how many these are.
+    pub fn halve(&self) -> usize {
+        let kept = (self.limit() / 2).max(self.0.connected.borrow().len()).min(self.limit());
+        self.set_limit(Some(kept));
+        kept
+    }
+
+    /// Who takes over connections once the door is closed.
+    pub fn set_successor(&self, successor: Option<Successor>) {
+        self.0.successor.replace(successor);
+    }
+
+    /// Whether there is one.
+    pub fn has_successor(&self) -> bool {
+        self.0.successor.borrow().is_some()
+    }
 }
 
 impl Side {
@@ -252,8 +358,20 @@
     number: u64,
     stream: TcpStream,
     inbound: Chain,
+    stage: Stage,
     /// It has asked something that went to the exchange.
     asked: bool,
+    /// It stands between requests, and this process lets it go.
+    leaves: bool,
+}
+
+/// How far a connection has come.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Stage {
+    /// Its startup is to come, and is then turned away where the places were full.
+    New { full: bool },
+    /// Queries may come.
+    Started,
 }
 
 /// Whether a connection goes on.
@@ -264,13 +382,15 @@
 }
 
 impl Client<'_> {
-    async fn serve(&mut self, full: bool) -> io::Result<()> {
+    async fn serve(&mut self) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
-        let stands = Stands::new(&self.side.silent, self.number);
-        if self.start(full).await? == Flow::End {
-            return Ok(());
+        if let Stage::New { full } = self.stage {
+            let _stands = Stands::new(&self.side.silent, self.number);
+            if self.start(full).await? == Flow::End {
+                return Ok(());
+            }
+            self.stage = Stage::Started;
         }
-        drop(stands);
         let mut skipping = false; // after an error in the extended protocol, up to Sync
         while let Some(message) = self.next_message().await? {
             let kind = message.array::<1>(0).map_or(0, |[kind]| kind);
@@ -293,21 +413,25 @@
                 _ => self.expel("08P01", "unexpected message type").await?,
             };
             if flow == Flow::End {
-                break;
+                return Ok(());
             }
         }
+        self.leaves &= !skipping; // the successor could not know
         Ok(())
     }
 
     /// Reads on, but not past `late`; false when the client is gone, or when the proxy closes and nothing was
     /// begun. Guards against half a message that keeps its place for good.
     async fn more(&mut self, late: Option<Instant>) -> io::Result<bool> {
-        let mut closing = self.side.closing.subscribe();
+        let mut door = self.side.door.subscribe();
         let between = self.inbound.is_empty();
         tokio::select! {
             biased;
             read = self.inbound.fill(&self.stream) => return Ok(read? > 0),
-            _ = closing.wait_for(|closing| *closing), if between => return Ok(false),
+            _ = door.wait_for(|door| *door >= Door::SentAway), if between => {
+                self.leaves = true;
+                return Ok(false);
+            }
             () = sleep_until(late.unwrap_or_else(Instant::now)), if late.is_some() => {}
         }
         if !between {
@@ -336,6 +460,9 @@
                 Some(Startup::Session(_)) if full => {
                     return self.expel("53300", "sorry, too many clients already").await;
                 }
+                Some(Startup::Session(_)) if *self.side.door.borrow() == Door::SentAway => {
+                    return self.expel("57P03", "the proxy is out of service").await;
+                }
                 Some(Startup::Session(minor)) => {
                     self.write(&pg::welcome(minor)).await?;
                     return Ok(Flow::GoOn);
@@ -388,6 +515,9 @@
             return self.expel("08P01", "invalid string in message").await;
         };
         match parsed {
+            Some(pg::Query::Empty) if *self.side.door.borrow() != Door::Open => {
+                self.reject("57P03", "the proxy is out of service").await
+            }
             Some(pg::Query::Empty) => {
                 self.reply(|out| {
                     pg::empty_query(out);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -3,9 +3,11 @@
 //! Owns the connection to the discovery service and the ids that its servers go by here. It must never judge
 //! a server by what the list says of it; it reads entries, and reports a call or a watch that failed as such.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use serde::Deserialize;
@@ -31,6 +33,8 @@
 const SILENCE_MOST: Duration = Duration::from_millis(3500);
 /// Time within which a connection must be up.
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
+/// Names of servers that are kept after the list has dropped them.
+const PAST_MOST: usize = 4096;
 /// The longest head or line that is read.
 const LINE_MOST: usize = 4 << 20;
 
@@ -72,21 +76,28 @@
     names: Names,
     clock: Clock,
     ids: BTreeMap<ServerId, String>,
+    /// Names that the list has held, those still in it included.
+    past: VecDeque<String>,
     rev: u64,
+    live: bool,
 }
 
+/// A lister that discovery and the operators' calls share.
+pub type SharedLister = Rc<RefCell<Lister>>;
+
 /// A view, and the addresses of the servers in it.
 pub type Listed = (View, Vec<(ServerId, SocketAddr)>);
 
 impl Lister {
     /// One that has seen no list yet.
     pub fn new(names: Names, clock: Clock) -> Self {
-        Self { names, clock, ids: BTreeMap::new(), rev: 0 }
+        Self { names, clock, ids: BTreeMap::new(), past: VecDeque::new(), rev: 0, live: false }
     }
 
     /// Reads a listing; `remembered` is for the one of an earlier run.
     pub fn read(&mut self, listing: Listing, remembered: bool) -> Listed {
         self.rev = listing.rev;
+        self.live |= !remembered;
         let mut addresses = Vec::new();
         let mut entries = Vec::new();
         let all = listing.all;
@@ -123,15 +134,35 @@
         (view, addresses)
     }
 
-    /// The id of a server: a hash of its name, so that all proxies order servers alike.
-    fn id(&mut self, uid: &str) -> ServerId {
+    /// Whether the service itself has told of the list by now.
+    pub fn is_live(&self) -> bool {
+        self.live
+    }
+
+    /// Whether the list holds a server or has held it, as far back as names are kept.
+    pub fn has_listed(&self, uid: &str) -> bool {
+        self.past.iter().any(|past| past == uid)
+    }
+
+    /// The id of a server, listed or not: a hash of its name, so that all proxies order servers alike.
+    pub fn number(&self, uid: &str) -> ServerId {
         let fnv1a = |hash: u32, byte: u8| (hash ^ u32::from(byte)).wrapping_mul(0x0100_0193);
         let mut id = ServerId(uid.bytes().fold(0x811c_9dc5, fnv1a));
         while self.ids.get(&id).is_some_and(|other| other != uid) {
             id = ServerId(id.0.wrapping_add(1));
         }
+        id
+    }
+
+    fn id(&mut self, uid: &str) -> ServerId {
+        let id = self.number(uid);
         if self.ids.insert(id, uid.to_owned()).is_none() {
             log::info!("server {} is {uid}", id.0);
+            if !self.has_listed(uid) {
+                self.past.push_back(uid.to_owned());
+                let over = self.past.len().saturating_sub(PAST_MOST);
+                self.past.drain(..over);
+            }
         }
         id
     }
@@ -143,9 +174,8 @@
     exchange: PgExchange,
     mut asks: UnboundedReceiver<Ask>,
     mut service: watch::Receiver<SocketAddr>,
-    lister: Lister,
+    lister: SharedLister,
 ) {
-    let lister = std::rc::Rc::new(std::cell::RefCell::new(lister));
     let mut watch: Option<JoinHandle<()>> = None;
     loop {
         let ask = tokio::select! {
@@ -160,7 +190,10 @@
         let call = move |watch: bool| async move {
             let from = lister.borrow().rev;
             let heard = |line: Option<Listing>| {
-                let nothing = || (View::Changes(Vec::new()), Vec::new());
+                let nothing = || {
+                    lister.borrow_mut().live = true;
+                    (View::Changes(Vec::new()), Vec::new())
+                };
                 let (view, addresses) = line.map_or_else(nothing, |l| lister.borrow_mut().read(l, false));
                 exchange.listed(view, addresses);
             };
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -82,6 +82,8 @@
     Address(ServerId, SocketAddr),
     /// A server is gone for good.
     Forget(ServerId),
+    /// The part of all sockets and buffers that may be used, the rest being another process's.
+    Share(f64),
 }
 
 /// An attempt to be sent.
@@ -340,6 +342,19 @@
         self.tell(Event::View(view));
     }
 
+    /// Gives the side of the data servers an order that is no decision.
+    pub fn order(&self, order: Order<Q>) {
+        let _ = self.0.orders.send(order);
+    }
+
+    /// The operators took a server out by hand, or called it back.
+    pub fn ordered(&self, server: ServerId, out: bool) {
+        if out {
+            self.order(Order::Close(server));
+        }
+        self.tell(if out { Event::Offline(server) } else { Event::Online(server) });
+    }
+
     /// Whether the list has ever named a group. Before any list, all may exist.
     pub fn knows(&self, group: GroupId) -> bool {
         let books = self.0.books.borrow();
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -32,6 +32,8 @@
 const IDLE_SHARE: f64 = 0.6;
 /// Time within which an answer that has begun goes on: servers write theirs in one go.
 const GOES_ON_WITHIN: Duration = Duration::from_millis(500);
+/// Time after which an attempt that has not begun is decided on again: its server may drain by now.
+const SENT_WITHIN: Duration = Duration::from_millis(1500);
 /// A position ahead of the clock by more than this is none.
 const AHEAD_MOST: Duration = Duration::from_secs(1);
 
@@ -152,6 +154,8 @@
     /// How many wait for a socket.
     waiting: Cell<usize>,
     wear: RefCell<Wear>,
+    /// Places that are another process's for now, and the task that takes them as they get free.
+    left_to_others: RefCell<Option<AbortHandle>>,
     attempts: RefCell<HashMap<Key, AbortHandle>>,
 }
 
@@ -172,6 +176,7 @@
         sockets,
         waiting: Cell::new(0),
         wear: RefCell::default(),
+        left_to_others: RefCell::default(),
         attempts: RefCell::default(),
     });
     let mut sweep = tokio::time::interval(Duration::from_secs(1));
@@ -219,6 +224,7 @@
                     self.idle.borrow_mut().remove(&server);
                 }
             }
+            Order::Share(part) => self.share(part),
             Order::Forget(server) => {
                 self.addresses.borrow_mut().remove(&server);
                 self.idle.borrow_mut().remove(&server);
@@ -226,6 +232,26 @@
         }
     }
 
+    /// Keeps to a part of the sockets. Idle connections go first; what is in use goes as it gets free.
+    fn share(self: &Rc<Self>, part: f64) {
+        if let Some(task) = self.left_to_others.take() {
+            task.abort();
+        }
+        let others = ((1.0 - part) * self.options.sockets as f64) as usize;
+        if others == 0 {
+            return;
+        }
+        let side = self.clone();
+        let task = tokio::task::spawn_local(async move {
+            let mut places = Vec::new();
+            while places.len() < others {
+                places.push(side.place().await);
+            }
+            std::future::pending::<()>().await;
+        });
+        self.left_to_others.replace(Some(task.abort_handle()));
+    }
+
     /// Closes what has stood idle for too long: a query must not meet the server's own closing.
     fn sweep(&self) {
         self.idle.borrow_mut().retain(|_, idle| {
@@ -268,13 +294,15 @@
     }
 
     async fn converse(&self, send: &Send<Query>, stage: &Cell<Stage>) -> io::Result<Ending<Answer>> {
+        let ordered = Instant::now();
         let connection = match self.checkout(send.server, stage).await? {
             Checkout::Ready(connection) => connection,
             Checkout::Rejected(outcome) => return Ok(Ending::without_answer(outcome)),
         };
-        // A bound on age counts from the send. A connection may have taken long to come up: then the attempt
-        // goes back unsent, and is decided on again with what is known by now.
-        if send.fresh_until.is_some_and(|until| Instant::now() >= until) {
+        // A bound on age counts from the send, and so does a drain. A connection may have taken long to come up:
+        // then the attempt goes back unsent, and is decided on again with what is known by now.
+        let stale = ordered.elapsed() >= SENT_WITHIN;
+        if stale || send.fresh_until.is_some_and(|until| Instant::now() >= until) {
             self.give_back(send.server, connection);
             return Ok(Ending::without_answer(Outcome::Moot));
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -291,6 +291,9 @@
     pub listen: SocketAddr,
     /// The discovery service.
     pub discovery: SocketAddr,
+    /// Where the operators' calls are answered; nowhere without it.
+    #[serde(default)]
+    pub ops: Option<SocketAddr>,
     /// For random numbers, in hex.
     pub seed: String,
     /// What it runs within.
--- a/src/state.rs
+++ b/src/state.rs
@@ -47,6 +47,8 @@
     pub listed: bool,
     /// Listed as draining, or gone where that binds.
     pub barred: bool,
+    /// Taken out by the operators.
+    pub out_by_hand: bool,
     pub head: bool,
     pub position: f64,
     pub heard: f64,
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -122,6 +122,30 @@
     assert!(again.contains(&2) && !again.contains(&3), "2 is listed anew, 3 is gone: {again:?}");
 }
 
+#[test]
+fn a_server_out_by_hand_gets_nothing_whatever_the_list_says_until_it_is_called_back() {
+    let mut b = Bench::new(Settings { limits: Limits { probes: true, ..settings().limits }, ..settings() });
+    b.hear_all(ms(10));
+    b.step(vec![Event::Offline(ServerId(2))]);
+    let listed = |gone| [entry(1, true), entry(2, false), entry(3, false)].into_iter().skip(gone).collect();
+    for view in [View::All(vec![entry(1, true)]), View::All(listed(0)), View::Changes(listed(1))] {
+        b.step(vec![Event::View(view)]);
+        for class in [LOOK, OWN, ANY] {
+            let actions = b.call(class);
+            assert!(!targets(&actions).contains(&2), "{actions:?}");
+        }
+        b.now += ms(3000);
+        let probes = b.pass(ms(300)).contains(&Action::Probe { server: ServerId(2) });
+        assert!(!probes, "a probe is something new");
+    }
+    b.step(vec![Event::Online(ServerId(2))]);
+    let used = (0..100).any(|_| {
+        b.now += ms(20);
+        targets(&b.call(ANY)).contains(&2)
+    });
+    assert!(used, "it may serve again");
+}
+
 #[test]
 fn where_only_draining_binds_a_server_that_is_gone_from_the_list_still_serves() {
     let mut s = settings();
--- a/tests/network.rs
+++ b/tests/network.rs
@@ -6,6 +6,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -19,6 +20,7 @@
     child: Child,
     config: String,
     address: SocketAddr,
+    ops: SocketAddr,
     log: std::sync::mpsc::Receiver<String>,
     _discovery: Discovery,
 }
@@ -51,7 +53,7 @@
     let path = format!("{}/proxy-{}-{number}.json", env!("CARGO_TARGET_TMPDIR"), std::process::id());
     std::fs::write(&path, config).expect("a writable folder");
     let mut command = Command::new(env!("CARGO_BIN_EXE_pipittack"));
-    command.arg("serve").env("GW_CONFIG", &path).stderr(Stdio::piped());
+    command.arg("serve").env("GW_CONFIG", &path).env_remove("TMPDIR").stderr(Stdio::piped());
     (command, path)
 }
 
@@ -62,26 +64,74 @@
 
 /// The same with so much memory and so many descriptors.
 fn start_within(memory_mb: u32, sockets: u32, targets: &[String]) -> Proxy {
+    launch(&settings_within(memory_mb, sockets), targets, None)
+}
+
+fn settings_within(memory_mb: u32, sockets: u32) -> String {
+    include_str!("../examples/config.json")
+        .replace("192", &memory_mb.to_string())
+        .replace("1024", &sockets.to_string())
+}
+
+/// Starts the program with settings and a list of servers, in a folder that outlasts it or in none.
+fn launch(config: &str, targets: &[String], folder: Option<&Path>) -> Proxy {
     let discovery = Discovery::start(listing(1, true, targets));
-    let known = format!(r#""known": {}, "settings""#, listing(1, true, targets));
-    let config = include_str!("../examples/config.json")
+    let known = format!(r#""ops": "127.0.0.1:0", "known": {}, "settings""#, listing(1, true, targets));
+    let config = config
         .replace("127.0.0.1:5433", "127.0.0.1:0")
         .replace("127.0.0.1:8500", &discovery.address.to_string())
-        .replace("192", &memory_mb.to_string())
-        .replace("1024", &sockets.to_string())
         .replace(r#""settings""#, &known);
     let (mut command, config) = command(&config);
+    folder.map(|folder| command.env("TMPDIR", folder));
     let mut child = command.spawn().expect("the program starts");
     let mut log = BufReader::new(child.stderr.take().expect("piped")).lines();
-    let address = loop {
+    let mut after = |text: &str| loop {
         let line = log.next().expect("a line that says where it serves").expect("UTF-8");
-        if let Some((_, address)) = line.split_once("serving at ") {
+        if let Some((_, address)) = line.split_once(text) {
             break address.parse().expect("an address");
         }
     };
+    let (ops, address) = (after("calls are answered at "), after("serving at "));
     let (tell, lines) = std::sync::mpsc::channel();
     std::thread::spawn(move || log.map_while(Result::ok).for_each(|line| drop(tell.send(line))));
-    Proxy { child, config, address, log: lines, _discovery: discovery }
+    Proxy { child, config, address, ops, log: lines, _discovery: discovery }
+}
+
+/// A new folder.
+fn folder(name: &str) -> PathBuf {
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a writable folder");
+    folder
+}
+
+/// Bytes sent to the second address, and the status that comes back; none where the connection just ends.
+fn call(proxy: &Proxy, bytes: &[u8]) -> Option<u16> {
+    let mut stream = TcpStream::connect(proxy.ops).expect("it listens");
+    stream.set_read_timeout(Some(PATIENCE)).expect("a socket");
+    stream.write_all(bytes).expect("it reads");
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).expect("an end");
+    answer.strip_prefix("HTTP/1.1 ")?.get(..3)?.parse().ok()
+}
+
+fn post(proxy: &Proxy, path: &str) -> Option<u16> {
+    call(
+        proxy,
+        format!("POST /control/{path} HTTP/1.1\r\nHost: proxy\r\nContent-Length: 0\r\n\r\n").as_bytes(),
+    )
+}
+
+fn is_ready(proxy: &Proxy) -> bool {
+    call(proxy, b"GET /control/ready HTTP/1.1\r\n\r\n") == Some(200)
+}
+
+/// Waits for what comes about by itself.
+fn until(what: &str, mut done: impl FnMut() -> bool) {
+    let since = Instant::now();
+    while !done() {
+        assert!(since.elapsed() < PATIENCE, "{what}");
+        std::thread::yield_now();
+    }
 }
 
 struct Client(TcpStream);
@@ -591,3 +641,102 @@
     let said = String::from_utf8_lossy(&output.stderr);
     assert!(!output.status.success() && said.lines().count() == 1 && said.contains(what), "{said}");
 }
+
+/// A server taken out by hand gets nothing new until it is called back, whatever the list says meanwhile.
+#[test]
+fn a_server_out_by_hand_stays_out_until_it_is_called_back() {
+    let (one, two) = (DataServer::start(true, ok), DataServer::start(true, ok));
+    let listed = |state| [one.listed("a", "read-write", state), two.listed("b", "read-only", "Ready")];
+    let folder = folder("bans");
+    let example = include_str!("../examples/config.json");
+    let proxy = launch(example, &listed("Ready"), Some(&folder));
+    let mut client = Client::connect(&proxy);
+    assert_eq!((kinds(&client.ask(&write(3000))), one.count()), ("TDCZ".into(), 1));
+    assert_eq!(post(&proxy, "data-servers/never/offline"), Some(404));
+    (0..2).for_each(|_| assert_eq!(post(&proxy, "data-servers/a/offline"), Some(200)));
+    until("the other one serves", || kinds(&client.ask(&write(3000))) == "TDCZ" && two.count() > 0);
+    let before = one.count();
+    for (rev, state) in [(2, "Gone"), (3, "Ready")] {
+        proxy._discovery.changes.send(listing(rev, false, &listed(state))).expect("it watches");
+        (0..10).for_each(|_| drop(client.ask(&write(3000))));
+    }
+    proxy.signal("HUP");
+    proxy.logged("configuration read again");
+    (0..10).for_each(|_| drop(client.ask(&write(3000))));
+    drop((client, proxy));
+    // What was killed has left the ban behind for the next one, which hears of the server as never banned.
+    let proxy = launch(example, &listed("Ready"), Some(&folder));
+    let mut client = Client::connect(&proxy);
+    (0..10).for_each(|_| drop(client.ask(&write(3000))));
+    assert_eq!(one.count(), before, "nothing new reached it");
+    two.close_all();
+    assert_eq!(post(&proxy, "data-servers/b/offline"), Some(200));
+    assert_eq!(post(&proxy, "data-servers/a/online"), Some(200));
+    until("it is used again", || kinds(&client.ask(&write(3000))) == "TDCZ" && one.count() > before);
+}
+
+/// Guards against callers that say nothing or half a call and stay: nobody waits for them.
+#[test]
+fn stalled_callers_delay_no_call() {
+    let proxy = start(&[]);
+    until("it is ready", || is_ready(&proxy));
+    let stalled: Vec<_> = (0..40)
+        .map(|i| {
+            let mut stream = TcpStream::connect(proxy.ops).expect("it listens");
+            stream.write_all(&b"POST /control/out-of-serv"[..i % 26]).expect("it reads");
+            stream
+        })
+        .collect();
+    assert!(is_ready(&proxy));
+    assert_eq!(call(&proxy, b"GET /control/\r\n\r\n"), Some(400));
+    assert_eq!(call(&proxy, &[b'x'; 9000]), Some(431));
+    drop(stalled);
+}
+
+/// Clients are sent away: the empty query gets an error, what is asked is served, and idle connections end.
+#[test]
+fn clients_are_sent_away_and_taken_again() {
+    let server = DataServer::start(true, ok);
+    let proxy = start(&[server.listed("a", "read-write", "Ready")]);
+    let mut client = Client::connect(&proxy);
+    assert_eq!(kinds(&client.ask("")), "IZ");
+    assert_eq!(post(&proxy, "out-of-service"), Some(200));
+    let answer = client.ask("");
+    assert_eq!((kinds(&answer), field(&answer, b'C').as_deref()), ("EZ".into(), Some("57P03")));
+    assert_eq!(kinds(&client.ask(&write(3000))), "TDCZ", "it is served while it stays");
+    assert!(!is_ready(&proxy));
+    assert_eq!(client.0.read(&mut [0]).expect("a clean end"), 0);
+    let (_, answer) = greet(&proxy);
+    assert_eq!((kinds(&answer), field(&answer, b'C').as_deref()), ("E".into(), Some("57P03")));
+    assert_eq!(post(&proxy, "in-service"), Some(200));
+    assert_eq!(kinds(&Client::connect(&proxy).ask("")), "IZ");
+}
+
+/// The process is replaced under its clients: none of their connections ends, not even between requests.
+#[test]
+fn a_successor_takes_over_the_door_and_the_clients() {
+    let server = DataServer::start(true, |text| if text.contains("id=9") { Say::Nothing } else { ok(text) });
+    let listed = [server.listed("a", "read-write", "Ready")];
+    let (folder, example) = (folder("upgrade"), include_str!("../examples/config.json"));
+    let mut old = launch(example, &listed, Some(&folder));
+    let (mut idle, mut silent, mut busy) = (Client::connect(&old), Client::raw(&old), Client::connect(&old));
+    assert_eq!(kinds(&idle.ask(&write(3000))), "TDCZ");
+    busy.send(&query(&write(3000).replace("id=2", "id=9")));
+    until("it is sent", || server.count() == 2);
+    let new = launch(example, &listed, Some(&folder));
+    assert_eq!(new.address, old.address);
+    until("it is ready", || is_ready(&new));
+    assert_eq!(kinds(&idle.ask(&write(3000))), "TDCZ");
+    old.signal("TERM");
+    silent.send(&startup());
+    assert_eq!(kinds(&silent.answer()), "RZ");
+    assert_eq!(kinds(&busy.answer()), "EZ", "what the old one took, it ends");
+    assert!(old.child.wait().expect("it ends").success());
+    for client in [&mut idle, &mut silent, &mut busy, &mut Client::connect(&new)] {
+        assert_eq!(kinds(&client.ask(&write(3000))), "TDCZ");
+    }
+    // A process that was killed is no hindrance to the next one.
+    drop(new);
+    let next = launch(example, &listed, Some(&folder));
+    assert_eq!(kinds(&Client::connect(&next).ask(&write(3000))), "TDCZ");
+}
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -4,6 +4,7 @@
 
 use pipittack::net::buffers::{Pool, SIZE};
 use pipittack::net::discovery::{chunk_size, head, Framing};
+use pipittack::net::ops::{call, Call};
 use pipittack::net::pg::{self, Query, Startup};
 use rstest::rstest;
 
@@ -209,3 +210,21 @@
     drop((first, rest));
     assert_eq!(pool.unused(), before + held);
 }
+
+#[rstest]
+#[case::ready("GET /control/ready HTTP/1.1\r\nHost: a\r\n\r\n", Ok(Call::Ready))]
+#[case::bare("GET /control/ready?x=1 HTTP/1.0\r\n\r\n", Ok(Call::Ready))]
+#[case::out("POST /control/data-servers/s-1/offline HTTP/1.1\r\n\r\n", Ok(Call::Offline("s-1".into())))]
+#[case::back("POST /control/data-servers/a%2fb/online HTTP/1.1\r\n\r\n", Ok(Call::Online("a/b".into())))]
+#[case::away("POST /control/out-of-service HTTP/1.1\r\n\r\n", Ok(Call::OutOfService))]
+#[case::again("POST /control/in-service HTTP/1.1\r\n\r\n", Ok(Call::InService))]
+#[case::wrong_method("GET /control/in-service HTTP/1.1\r\n\r\n", Err(405))]
+#[case::no_id("POST /control/data-servers//online HTTP/1.1\r\n\r\n", Err(404))]
+#[case::unknown("GET / HTTP/1.1\r\n\r\n", Err(404))]
+#[case::other_version("GET /control/ready HTTP/2.0\r\n\r\n", Err(505))]
+#[case::noise("\u{1}\u{2}\r\n\r\n", Err(400))]
+#[case::no_version("GET /control/ready\r\n\r\n", Err(400))]
+#[case::bad_field("GET /control/ready HTTP/1.1\r\nno field\r\n\r\n", Err(400))]
+fn calls_are_read(#[case] head: &str, #[case] wanted: Result<Call, u16>) {
+    assert_eq!(call(head.as_bytes()), wanted);
+}
