--- a/src/decide.rs
+++ b/src/decide.rs
@@ -148,10 +148,9 @@
     /// A gateway that knows nothing but its settings.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         settings.validate()?;
-        let guess = |c: &Class| ClassTime { mean: secs(c.aim) / 4.0, dev: secs(c.aim) / 8.0 };
         Ok(Self {
             rng: Pcg64Mcg::seed_from_u64(seed),
-            times: settings.classes.iter().map(guess).collect(),
+            times: settings.classes.iter().map(ClassTime::guess).collect(),
             mix: vec![0.0; settings.classes.len()],
             meters: vec![Meter::default(); settings.tenants.len()],
             clock: Clock { ask_pause: ASK_FIRST, ..Clock::default() },
@@ -187,6 +186,7 @@
     fn learn(&mut self, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::View(view) => self.learn_view(view),
+            Event::Settings(settings) => self.retune(*settings),
             Event::Offline(server) => self.put_out(server),
             Event::Online(server) => self.call_back(server),
             Event::Request(request) => self.accept(request, actions),
@@ -209,6 +209,24 @@
         }
     }
 
+    /// New settings. What was learned stays, but for that of classes which are no longer what they were.
+    fn retune(&mut self, settings: Settings) {
+        for (i, class) in settings.classes.iter().enumerate() {
+            if self.cfg.classes.get(i) != Some(class) {
+                match self.times.get_mut(i) {
+                    Some(time) => (*time, self.mix[i]) = (ClassTime::guess(class), 0.0),
+                    None => {
+                        self.times.push(ClassTime::guess(class));
+                        self.mix.push(0.0);
+                    }
+                }
+            }
+        }
+        self.meters.resize(settings.tenants.len(), Meter::default());
+        self.crowd = f64::from(settings.gateways) * WINDOW_LEAST > WINDOW_START;
+        self.cfg = settings;
+    }
+
     /// The operators took a server out: it drains, whatever the list says, until they call it back.
     fn put_out(&mut self, id: ServerId) {
         self.out_by_hand.insert(id);
@@ -303,7 +321,10 @@
         let (id, group, place) = (request.id, request.group, request.class);
         let shed = class.need != Need::Write && !self.admits(place, group);
         self.groups.entry(group).or_default();
-        self.pending.insert(id, Pending::new(request, now, aim, deadline, token, over_share));
+        self.pending.insert(
+            id,
+            Pending::new(request, now, aim, deadline, token, over_share, self.cfg.limits.attempts),
+        );
         if shed {
             self.finish(id, actions);
         }
@@ -701,7 +722,7 @@
             (Some((first, _)), Effect::Keyed { window, .. }) => self.now + 0.01 < first + secs(window),
             (Some(_), Effect::Once) => false,
         };
-        again && p.attempts < self.cfg.limits.attempts && self.now < p.deadline
+        again && p.attempts < p.most_attempts && self.now < p.deadline
     }
 
     /// Rules 2 to 5, just before a send: whether this server may have this request now.
@@ -743,7 +764,7 @@
         }
         // No primary: one write at a time asks the members in id order, where a miss costs nothing; after a
         // round of misses the next one waits.
-        if now < group.next_try || p.attempts + 2 > self.cfg.limits.attempts {
+        if now < group.next_try || p.attempts + 2 > p.most_attempts {
             return None;
         }
         let fits = |(i, s): &(ServerId, &Server)| {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -458,6 +458,9 @@
     Offline(ServerId),
     /// They called it back; its process may have started anew.
     Online(ServerId),
+    /// New settings. They are for requests that come from now on: a class that an open request holds keeps its
+    /// place in the table.
+    Settings(Box<Settings>),
     /// A request arrived.
     Request(Request),
     /// An attempt ended.
--- a/src/main.rs
+++ b/src/main.rs
@@ -8,22 +8,22 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::os::fd::AsFd;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
 
 use clap::{Parser, Subcommand};
 use log::LevelFilter;
-use pipittack::interface::Settings;
+use pipittack::interface::{ClassId, Settings};
 use pipittack::net::buffers::Pool;
 use pipittack::net::clients::{self, Clients};
-use pipittack::net::discovery::{self, Lister};
-use pipittack::net::exchange::{Clock, Exchange};
+use pipittack::net::discovery::{self, Lister, SharedLister};
+use pipittack::net::exchange::{Clock, Exchange, Order};
 use pipittack::net::handover::{self, Shares};
 use pipittack::net::ops::{self, Bans, Control};
-use pipittack::net::servers;
-use pipittack::settings::{Config, Env, SOCKETS_LEAST};
+use pipittack::net::servers::{self, PgExchange};
+use pipittack::settings::{Config, Env, Malformed, SOCKETS_LEAST};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
@@ -85,9 +85,13 @@
 
 impl ConfigFile {
     fn read(&self) -> Result<(Config, Settings, Env), String> {
-        let fault = |path: &Path, e: &dyn std::fmt::Display| format!("{}: {e}", path.display());
-        let text = std::fs::read_to_string(&self.path).map_err(|e| fault(&self.path, &e))?;
-        Config::read(&text).map_err(|e| fault(&self.path, &e))
+        self.read_by(Config::read)
+    }
+
+    fn read_by<T>(&self, read: impl FnOnce(&str) -> Result<T, Malformed>) -> Result<T, String> {
+        let fault = |e: &dyn std::fmt::Display| format!("{}: {e}", self.path.display());
+        let text = std::fs::read_to_string(&self.path).map_err(|e| fault(&e))?;
+        read(&text).map_err(|e| fault(&e))
     }
 }
 
@@ -130,13 +134,12 @@
     done
 }
 
-async fn serve(start: &Start, (config, settings, env): (Config, Settings, Env)) -> Result<(), String> {
+async fn serve(start: &Start, (mut config, settings, env): (Config, Settings, Env)) -> Result<(), String> {
     let clock = Clock::start();
     let pool = Pool::new((config.limits.memory_mb as f64 * 1e6 * BUFFER_SHARE) as usize);
     let seed = config.seed().map_err(|e| e.to_string())?;
     let sockets = sockets(config.limits.sockets)?;
     let for_clients = (sockets as f64 * CLIENT_SHARE) as usize;
-    let longest = settings.classes.iter().map(|c| c.deadline).max().unwrap_or_default();
 
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
@@ -167,8 +170,14 @@
     let to_servers = servers::Options::new(&settings, &env, sockets - for_clients);
     let to_clients = clients::Options {
         clients: for_clients,
-        classes: settings.classes.clone(),
-        names: env.names.clone(),
+        classes: env
+            .names
+            .classes()
+            .iter()
+            .cloned()
+            .zip(settings.classes.iter().cloned().enumerate())
+            .map(|(name, (i, class))| (name, (ClassId(i), class)))
+            .collect(),
     };
     let (exchange, orders, asks) =
         Exchange::new(settings, seed, clock).map_err(|e| format!("settings: {e}"))?;
@@ -182,13 +191,13 @@
         ready: Cell::new(false),
     });
     control.look();
-    if let Some(known) = config.known {
+    if let Some(known) = config.known.take() {
         let (view, addresses) = lister.borrow_mut().read(known, true);
         exchange.listed(view, addresses);
     }
     spawn_local(servers::run(exchange.clone(), orders, to_servers, pool.clone()));
     let (moved, service) = watch::channel(config.discovery);
-    spawn_local(discovery::run(exchange.clone(), asks, service, lister));
+    spawn_local(discovery::run(exchange.clone(), asks, service, lister.clone()));
     exchange.step();
     if let Some(listener) = ops {
         let at = listener.local_addr().map_err(|e| format!("can't listen: {e}"))?;
@@ -204,21 +213,22 @@
         let listener = listener.as_fd().try_clone_to_owned().map_err(|e| format!("can't listen: {e}"))?;
         spawn_local(handover::run(path, listener, shares.clone()));
     }
-    let succeeds = heritage.is_some();
+    let recalled = heritage.as_ref().map(|heritage| heritage.known.clone());
     if let Some(heritage) = heritage {
         clients.set_limit(Some(heritage.clients));
         shares.divide(true);
         spawn_local(async move { heritage.follow(&shares).await });
     }
-    let (door, opened) = (clients.clone(), control.clone());
+    let (door, opened, books) = (clients.clone(), control.clone(), exchange.clone());
     let prepare = async move {
         let _ = timeout(LISTED_WITHIN, opened.listed()).await;
         opened.ready.set(true);
     };
     let door = spawn_local(async move {
         // A successor lets the other process serve until it can do so itself.
-        if succeeds {
+        if let Some(known) = recalled {
             prepare.await;
+            books.recall(&known);
         } else {
             spawn_local(prepare);
         }
@@ -230,7 +240,21 @@
         tokio::select! {
             _ = terminate.recv() => break,
             _ = interrupt.recv() => break,
-            _ = hangup.recv() => reload(&start.file, &moved),
+            _ = hangup.recv() => match start.file.read_by(|text| config.reread(text)) {
+                Ok((new, settings, env)) => {
+                    let place = if new.discovery == config.discovery { "still at" } else { "now at" };
+                    log::info!(
+                        "configuration read again: {} classes, {} attempts; discovery is {place} {}",
+                        settings.classes.len(),
+                        settings.limits.attempts,
+                        new.discovery
+                    );
+                    config = new;
+                    moved.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+                    retune((settings, env), &clients, &exchange, &lister);
+                }
+                Err(fault) => log::warn!("configuration kept as it was: {fault}"),
+            },
         }
     }
     log::info!("told to end; {} requests open", exchange.open_requests());
@@ -242,24 +266,23 @@
         let _ = door.await;
         clients.gone().await;
     };
-    if timeout(longest + OVERTIME, finished).await.is_err() {
+    if timeout(exchange.longest() + OVERTIME, finished).await.is_err() {
         log::warn!("ended with {} requests open", exchange.open_requests());
     }
     Ok(())
 }
 
-/// Reads the configuration again and follows discovery to where it says. Nothing else of it takes effect
-/// before the next start; a file that can't be read changes nothing.
-fn reload(file: &ConfigFile, discovery: &watch::Sender<SocketAddr>) {
-    match file.read() {
-        Ok((config, ..)) => {
-            let moved =
-                discovery.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
-            let place = if moved { "now at" } else { "still at" };
-            log::info!("configuration read again; discovery is {place} {}", config.discovery);
-        }
-        Err(fault) => log::warn!("configuration kept as it was: {fault}"),
-    }
+/// Has all parts go by new settings. What the process listens at and its limits are for the next start.
+fn retune(
+    (mut settings, env): (Settings, Env),
+    clients: &Clients,
+    exchange: &PgExchange,
+    lister: &SharedLister,
+) {
+    // The list's zones keep the numbers that they have.
+    settings.zone = lister.borrow_mut().zone(env.names.zone_name(settings.zone).unwrap_or_default());
+    exchange.order(Order::Patience(settings.limits.connect_timeout, env.conn_idle));
+    clients.retune(settings, env.names.classes());
 }
 
 /// The sockets that are for clients and data servers: what the configuration grants, as far as the system
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -23,7 +23,6 @@
 use super::pg::{self, Severity, Startup};
 use super::servers::{PgExchange, Query};
 use crate::interface::*;
-use crate::settings::Names;
 
 /// Time within which a new client must have sent its startup packet, and any client the rest of a message
 /// that it has begun. Whoever can't be served is owed an end 3 s after connecting.
@@ -45,6 +44,8 @@
 /// Time for which clients still come after the front was told to send no more: it asks each 0.1 s, and sends
 /// some for 0.2 s after that.
 const STILL_COME: Duration = Duration::from_millis(600);
+/// Time for which a class that new settings dropped may still be named by what was on its way.
+const STILL_NAMED: Duration = Duration::from_secs(2);
 /// Time between warnings of one kind.
 const WARN_EVERY: Duration = Duration::from_secs(10);
 const BACKLOG: u32 = 1024;
@@ -55,15 +56,30 @@
 pub struct Options {
     /// Clients at the most; further ones are told so and turned away.
     pub clients: usize,
-    /// The classes of requests, and their names.
-    pub classes: Vec<Class>,
-    /// Names as indices.
-    pub names: Names,
+    /// The classes of requests, by their names.
+    pub classes: HashMap<String, (ClassId, Class)>,
+}
+
+/// What statements may name: the classes of the settings in force, and for a while those that these dropped.
+struct Rules {
+    classes: HashMap<String, (ClassId, Class)>,
+    dropped: HashMap<String, (ClassId, Class)>,
+    /// When the dropped ones go.
+    until: Instant,
+}
+
+impl Rules {
+    fn class(&self, name: &str) -> Option<(ClassId, Class)> {
+        let dropped = || self.dropped.get(name).filter(|_| Instant::now() < self.until);
+        self.classes.get(name).or_else(dropped).cloned()
+    }
 }
 
 struct Side {
     exchange: PgExchange,
-    options: Options,
+    /// Clients at the most.
+    most: usize,
+    rules: RefCell<Rules>,
     pool: Pool,
     /// For texts that must lie in one piece while they are parsed; one for all, so that none is kept idle.
     scratch: RefCell<Vec<u8>>,
@@ -121,7 +137,12 @@
     pub fn new(exchange: PgExchange, options: Options, pool: Pool) -> Self {
         Self(Rc::new(Side {
             exchange,
-            options,
+            most: options.clients,
+            rules: RefCell::new(Rules {
+                classes: options.classes,
+                dropped: HashMap::new(),
+                until: Instant::now(),
+            }),
             pool,
             scratch: RefCell::default(),
             connected: RefCell::default(),
@@ -163,6 +184,22 @@
         self.0.door.send_replace(Door::Closed);
     }
 
+    /// Takes new settings, whose classes go by these names, for requests that come from now on.
+    pub fn retune(&self, settings: Settings, names: &[String]) {
+        let mut rules = self.0.rules.borrow_mut();
+        let classes = settings.classes.clone();
+        let same = |(name, class): (&String, &Class)| {
+            rules.classes.get(name).filter(|(_, known)| known == class).map(|(id, _)| *id)
+        };
+        let kept: Vec<_> = names.iter().zip(&classes).map(same).collect();
+        let old = std::mem::take(&mut rules.classes);
+        let reserved: Vec<_> = old.values().map(|(id, _)| *id).collect();
+        let ids = self.0.exchange.retune(settings, &kept, &reserved);
+        rules.classes = names.iter().cloned().zip(ids.into_iter().zip(classes)).collect();
+        rules.dropped = old;
+        rules.until = Instant::now() + STILL_NAMED;
+    }
+
     /// Has the front send its clients elsewhere: empty queries get an error from now on, and who is here is
     /// served and then let go. The process goes on.
     pub fn send_away(&self) {
@@ -255,7 +292,7 @@
 
     /// How many clients there may be.
     pub fn limit(&self) -> usize {
-        self.0.limit.get().unwrap_or(self.0.options.clients)
+        self.0.limit.get().unwrap_or(self.0.most)
     }
 
     /// Sets that while another process has its part; none gives all back.
@@ -539,12 +576,11 @@
 
     /// Takes a request through the exchange.
     async fn request(&mut self, statement: pg::Statement, message: Chain) -> io::Result<Flow> {
-        let options = &self.side.options;
-        let Some(id) = options.names.class(&statement.class) else {
+        let class = self.side.rules.borrow().class(&statement.class);
+        let Some((id, class)) = class else {
             return self.reject("42601", "the statement names no known class").await;
         };
         // What a data server would turn away or close on costs a connection there, or passes for its fault.
-        let class = &options.classes[id.0];
         if statement.write != (class.need == Need::Write) {
             return self.reject("42601", "reads and writes have classes of their own").await;
         }
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -134,6 +134,11 @@
         (view, addresses)
     }
 
+    /// The number of a zone of this name.
+    pub fn zone(&mut self, name: &str) -> ZoneId {
+        self.names.zone(name)
+    }
+
     /// Whether the service itself has told of the list by now.
     pub fn is_live(&self) -> bool {
         self.live
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -13,6 +13,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
+use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
@@ -47,6 +48,11 @@
         Duration::try_from_secs_f64((ms - self.zero_ms).max(0.0) / 1e3).unwrap_or(Duration::ZERO)
     }
 
+    /// A time on this clock in Unix milliseconds.
+    fn unix_ms(&self, time: Duration) -> f64 {
+        self.zero_ms + time.as_secs_f64() * 1e3
+    }
+
     /// The instant of a time on this clock.
     fn instant(&self, time: Duration) -> Instant {
         self.start + time.saturating_sub(BEFORE_START)
@@ -82,6 +88,8 @@
     Address(ServerId, SocketAddr),
     /// A server is gone for good.
     Forget(ServerId),
+    /// Connections must be up within the first time, and are not used again after the second one idle.
+    Patience(Duration, Duration),
     /// The part of all sockets and buffers that may be used, the rest being another process's.
     Share(f64),
 }
@@ -130,6 +138,15 @@
     }
 }
 
+/// Where a server stands, as one process of a proxy tells another.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Stand {
+    server: u32,
+    primary: bool,
+    /// In Unix milliseconds; a primary's is when this was said.
+    position_ms: f64,
+}
+
 /// A request as the client side hands it in; its id is given here.
 #[derive(Debug, Clone, Default)]
 pub struct Call {
@@ -154,16 +171,23 @@
     taken: Duration,
     deadline: Duration,
     attempts: u32,
+    /// The limit on them when it was taken.
+    most_attempts: u32,
     done: oneshot::Sender<Final<A>>,
 }
 
 struct Out {
     server: ServerId,
+    class: ClassId,
     sent: Duration,
 }
 
 struct Books<Q, A> {
     gateway: Gateway,
+    /// The classes of all requests that are open, those of the settings in force included.
+    classes: Vec<Class>,
+    /// Attempts at the most, for requests that come now.
+    most_attempts: u32,
     events: Vec<Event>,
     actions: Vec<Action>,
     open: HashMap<RequestId, Open<Q, A>>,
@@ -208,8 +232,6 @@
 struct Shared<Q, A> {
     clock: Clock,
     tick: Duration,
-    attempts: u32,
-    bounds: Vec<Option<Duration>>,
     /// A server that the list has dropped may still be sent to.
     keeps_gone: bool,
     books: RefCell<Books<Q, A>>,
@@ -230,14 +252,10 @@
 impl<Q, A> Exchange<Q, A> {
     /// An exchange around a new decision module.
     pub fn new(settings: Settings, seed: u64, clock: Clock) -> Result<Parts<Q, A>, SettingsError> {
-        let (tick, attempts) = (settings.tick, settings.limits.attempts);
-        let keeps_gone = settings.contract.only_draining_binds;
-        let bound = |c: &Class| match c.need {
-            Need::Bounded(age) => Some(age),
-            _ => None,
-        };
-        let bounds = settings.classes.iter().map(bound).collect();
+        let (tick, keeps_gone) = (settings.tick, settings.contract.only_draining_binds);
         let books = Books {
+            classes: settings.classes.clone(),
+            most_attempts: settings.limits.attempts,
             gateway: Gateway::new(settings, seed)?,
             events: Vec::new(),
             actions: Vec::new(),
@@ -251,7 +269,7 @@
         };
         let ((orders, to_servers), (asks, to_discovery)) = (unbounded_channel(), unbounded_channel());
         let (books, news) = (RefCell::new(books), Notify::new());
-        let shared = Shared { clock, tick, attempts, bounds, keeps_gone, books, orders, asks, news };
+        let shared = Shared { clock, tick, keeps_gone, books, orders, asks, news };
         Ok((Self(Rc::new(shared)), to_servers, to_discovery))
     }
 
@@ -267,10 +285,14 @@
         let mut books = self.0.books.borrow_mut();
         books.requests += 1;
         let id = RequestId(books.requests);
-        let bound = self.0.bounds.get(call.class.0).copied().flatten();
+        let bound = match books.classes.get(call.class.0).map(|class| class.need) {
+            Some(Need::Bounded(age)) => Some(age),
+            _ => None,
+        };
         let deadline = now + call.time_left;
-        let (class, query) = (call.class, Rc::new(query));
-        books.open.insert(id, Open { query, class, bound, taken: now, deadline, attempts: 0, done });
+        let (class, query, most_attempts) = (call.class, Rc::new(query), books.most_attempts);
+        let open = Open { query, class, bound, taken: now, deadline, attempts: 0, most_attempts, done };
+        books.open.insert(id, open);
         let wrote_ago = call.after_unix_ms.map(|ms| now.saturating_sub(self.0.clock.of_unix_ms(ms)));
         books.events.push(Event::Request(Request {
             id,
@@ -326,6 +348,31 @@
         self.0.news.notify_one();
     }
 
+    /// Where servers stand, as far as this process has been told.
+    pub fn known(&self) -> Vec<Stand> {
+        let books = self.0.books.borrow();
+        let unix_ms = |at: Duration| self.0.clock.unix_ms(at);
+        let stand = |(server, position): (&ServerId, &Option<Duration>)| Stand {
+            server: server.0,
+            primary: position.is_none(),
+            position_ms: unix_ms(position.unwrap_or(self.0.clock.now())),
+        };
+        books.positions.iter().map(stand).collect()
+    }
+
+    /// Takes over what another process of this proxy knew of where servers stand.
+    pub fn recall(&self, known: &[Stand]) {
+        for stand in known {
+            let (server, at) = (ServerId(stand.server), self.0.clock.of_unix_ms(stand.position_ms));
+            let position = Some(at.min(self.0.clock.now()));
+            let mut books = self.0.books.borrow_mut();
+            books.positions.entry(server).or_insert(position.filter(|_| !stand.primary));
+            let report = Report { position, primary: Some(stand.primary), ..Report::default() };
+            books.events.push(Event::Probed { server, ok: true, report: Some(report) });
+        }
+        self.0.news.notify_one();
+    }
+
     /// A probe ended.
     pub fn probed(&self, server: ServerId, ok: bool, report: Option<Report>) {
         self.tell(Event::Probed { server, ok, report });
@@ -355,6 +402,37 @@
         self.tell(if out { Event::Offline(server) } else { Event::Online(server) });
     }
 
+    /// Takes new settings for requests that come from now on. Of their classes, those in `kept` are what they
+    /// were and keep their ids; each other one gets an id that neither an open request nor `reserved` has, and
+    /// so those that are open keep the rules that they came under. Gives the ids in the order of the classes.
+    pub fn retune(&self, settings: Settings, kept: &[Option<ClassId>], reserved: &[ClassId]) -> Vec<ClassId> {
+        let mut books = self.0.books.borrow_mut();
+        let held = books.open.values().map(|open| open.class).chain(books.out.values().map(|out| out.class));
+        let mut taken: HashSet<_> = held.chain(kept.iter().copied().flatten()).collect();
+        taken.extend(reserved);
+        let mut ids = Vec::new();
+        for (class, kept) in settings.classes.iter().zip(kept) {
+            let free = || (0..).map(ClassId).find(|id| !taken.contains(id)).expect("there are more numbers");
+            let id = kept.unwrap_or_else(free);
+            taken.insert(id);
+            match books.classes.get_mut(id.0) {
+                Some(place) => *place = class.clone(),
+                None => books.classes.push(class.clone()),
+            }
+            ids.push(id);
+        }
+        books.most_attempts = settings.limits.attempts;
+        let settings = Settings { classes: books.classes.clone(), ..settings };
+        books.events.push(Event::Settings(Box::new(settings)));
+        self.0.news.notify_one();
+        ids
+    }
+
+    /// The longest that any open request may take.
+    pub fn longest(&self) -> Duration {
+        self.0.books.borrow().classes.iter().map(|class| class.deadline).max().unwrap_or_default()
+    }
+
     /// Whether the list has ever named a group. Before any list, all may exist.
     pub fn knows(&self, group: GroupId) -> bool {
         let books = self.0.books.borrow();
@@ -470,7 +548,7 @@
         let key = (request, Attempt(open.attempts));
         open.attempts += 1;
         let until = (now + timeout).min(open.deadline);
-        if key.1 .0 >= self.0.attempts || until <= now {
+        if key.1 .0 >= open.most_attempts || until <= now {
             books.events.push(Event::Ended(Ended {
                 request,
                 attempt: key.1,
@@ -483,7 +561,7 @@
             }));
             return self.0.news.notify_one();
         }
-        books.out.insert(key, Out { server, sent: now });
+        books.out.insert(key, Out { server, class: open.class, sent: now });
         let known = books.positions.get(&server).copied().flatten();
         let fresh_until = known.zip(open.bound).map(|(known, bound)| self.0.clock.instant(known + bound));
         let query = open.query.clone();
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -16,19 +16,21 @@
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
-use tokio::io::Interest;
+use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
 use tokio::time::timeout;
 
 use super::buffers::Pool;
 use super::clients::Clients;
-use super::exchange::Order;
+use super::exchange::{Order, Stand};
 use super::servers::PgExchange;
 
 /// Part of the buffers and of the sockets to data servers that each process may use while there are two.
 const HALF: f64 = 0.5;
 /// Time within which a running process must have handed over its listener.
 const HANDED_WITHIN: Duration = Duration::from_secs(1);
+/// Bytes in which a process tells where servers stand, at the most.
+const KNOWN_MOST: u32 = 1 << 20;
 /// Time between tries to wait for a successor.
 const AGAIN_AFTER: Duration = Duration::from_secs(10);
 
@@ -118,18 +120,26 @@
 pub struct Inheritance {
     /// How many clients there may be here until more come over.
     pub clients: usize,
+    /// Where the data servers stood.
+    pub known: Vec<Stand>,
     stream: UnixStream,
 }
 
 /// Asks the process that runs, if one does, for the clients' door. What a killed process left is no hindrance.
 pub async fn inherit(path: &Path) -> Option<(TcpListener, Inheritance)> {
-    let stream = UnixStream::connect(path).await.ok()?;
-    match timeout(HANDED_WITHIN, receive(&stream)).await {
-        Ok(Ok(Some((Parcel::Door(clients), fd)))) => {
+    let mut stream = UnixStream::connect(path).await.ok()?;
+    let handed = async {
+        let door = receive(&stream).await?;
+        let mut known = vec![0; stream.read_u32().await?.min(KNOWN_MOST) as usize];
+        stream.read_exact(&mut known).await?;
+        Ok::<_, io::Error>((door, serde_json::from_slice(&known)?))
+    };
+    match timeout(HANDED_WITHIN, handed).await {
+        Ok(Ok((Some((Parcel::Door(clients), fd)), known))) => {
             let listener = std::net::TcpListener::from(fd);
             let listener = listener.set_nonblocking(true).and_then(|()| TcpListener::from_std(listener));
             let clients = clients as usize;
-            Some((listener.ok()?, Inheritance { clients, stream }))
+            Some((listener.ok()?, Inheritance { clients, known, stream }))
         }
         other => {
             log::warn!("the process that runs does not hand over its listener: {other:?}");
@@ -193,12 +203,14 @@
             }
         };
         // The limit of clients is divided by how many are here, and moves with each that goes over.
+        let limit = shares.clients.limit();
         let kept = shares.clients.halve();
         log::info!("a successor has come; this process keeps up to {kept} clients");
         shares.divide(true);
-        let rest = (shares.clients.limit() - kept) as u32;
+        let rest = Parcel::Door((limit - kept) as u32);
+        let known = serde_json::to_vec(&shares.exchange.known()).unwrap_or_default();
         let successor = Rc::new(successor);
-        if send(&successor, Parcel::Door(rest), listener.as_fd()).await.is_ok() {
+        if send(&successor, rest, listener.as_fd()).await.is_ok() && tell(&successor, &known).await.is_ok() {
             shares.clients.set_successor(Some(Successor(successor.clone())));
             ended(&successor).await;
         }
@@ -209,6 +221,21 @@
     }
 }
 
+/// Sends what is known, behind its length.
+async fn tell(stream: &UnixStream, known: &[u8]) -> io::Result<()> {
+    let bytes = [&(known.len() as u32).to_be_bytes(), known].concat();
+    let mut left = &bytes[..];
+    while !left.is_empty() {
+        stream.writable().await?;
+        match stream.try_write(left) {
+            Ok(n) => left = &left[n..],
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
 /// Waits for the end of a stream on which nothing is said.
 async fn ended(stream: &UnixStream) {
     while stream.readable().await.is_ok() {
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -146,7 +146,7 @@
 
 struct Side {
     exchange: PgExchange,
-    options: Options,
+    options: RefCell<Options>,
     pool: Pool,
     addresses: RefCell<HashMap<ServerId, SocketAddr>>,
     idle: RefCell<HashMap<ServerId, Vec<Connection>>>,
@@ -169,7 +169,7 @@
     let sockets = Arc::new(Semaphore::new(options.sockets));
     let side = Rc::new(Side {
         exchange,
-        options,
+        options: RefCell::new(options),
         pool,
         addresses: RefCell::default(),
         idle: RefCell::default(),
@@ -224,6 +224,10 @@
                     self.idle.borrow_mut().remove(&server);
                 }
             }
+            Order::Patience(connect, idle) => {
+                let mut options = self.options.borrow_mut();
+                (options.connect_timeout, options.conn_idle) = (connect, idle.mul_f64(IDLE_SHARE));
+            }
             Order::Share(part) => self.share(part),
             Order::Forget(server) => {
                 self.addresses.borrow_mut().remove(&server);
@@ -237,7 +241,7 @@
         if let Some(task) = self.left_to_others.take() {
             task.abort();
         }
-        let others = ((1.0 - part) * self.options.sockets as f64) as usize;
+        let others = ((1.0 - part) * self.options.borrow().sockets as f64) as usize;
         if others == 0 {
             return;
         }
@@ -262,11 +266,15 @@
 
     fn is_fresh(&self, connection: &Connection) -> bool {
         let stood = connection.idle_since.elapsed();
-        let most = self.options.conn_idle;
+        let most = self.options.borrow().conn_idle;
         (most.is_zero() || stood < most)
             && self.wear.borrow().most(self.now()).is_none_or(|most| stood < most)
     }
 
+    fn connected_by(&self) -> Instant {
+        Instant::now() + self.options.borrow().connect_timeout
+    }
+
     fn now(&self) -> f64 {
         self.exchange.clock().now().as_secs_f64()
     }
@@ -324,7 +332,7 @@
     }
 
     async fn probe(&self, server: ServerId) -> (bool, Option<Report>) {
-        let text = if self.options.probe_reports { "SHOW stats" } else { "SELECT 1" };
+        let text = if self.options.borrow().probe_reports { "SHOW stats" } else { "SELECT 1" };
         let ask = async {
             let Checkout::Ready(connection) = self.checkout(server, &Cell::new(Stage::Waits)).await? else {
                 return Err(io::ErrorKind::ConnectionRefused.into());
@@ -337,8 +345,11 @@
             Ok::<Reply, io::Error>(reply)
         };
         // A probe that takes longer than a connection may has shown what it was to show.
-        match timeout_at(Instant::now() + self.options.connect_timeout, ask).await {
-            Ok(Ok(reply)) => (reply.served(), reply.probe_report(self.exchange.clock())),
+        match timeout_at(self.connected_by(), ask).await {
+            Ok(Ok(reply)) => {
+                log::debug!("PROBE {:?} {:?}", reply.position_ms, reply.primary);
+                (reply.served(), reply.probe_report(self.exchange.clock()))
+            }
             // What can't be read came from a server that is up.
             Ok(Err(e)) => (e.kind() == io::ErrorKind::InvalidData, None),
             Err(_) => (false, None),
@@ -362,7 +373,7 @@
         let address = self.addresses.borrow().get(&server).copied();
         let Some(address) = address else { return Ok(Checkout::Rejected(Outcome::ConnectFailed)) };
         let connect = self.connect(address, place);
-        match timeout_at(Instant::now() + self.options.connect_timeout, connect).await {
+        match timeout_at(self.connected_by(), connect).await {
             Ok(done) => done,
             Err(_) => Ok(Checkout::Rejected(Outcome::ConnectFailed)),
         }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -70,6 +70,16 @@
         find(&self.classes, name).map(ClassId)
     }
 
+    /// The names of the classes, in their order.
+    pub fn classes(&self) -> &[String] {
+        &self.classes
+    }
+
+    /// The name of a zone, if it has one.
+    pub fn zone_name(&self, zone: ZoneId) -> Option<&str> {
+        self.zones.get(zone.0).map(String::as_str)
+    }
+
     /// The tenant of a name.
     pub fn tenant(&self, name: &str) -> Option<TenantId> {
         find(&self.tenants, name).map(TenantId)
@@ -306,6 +316,20 @@
 }
 
 impl Config {
+    /// Reads the text of a configuration file that takes the place of this one. Guards against half a file: no
+    /// key that this one has may be missing, but for what only a start needs.
+    pub fn reread(&self, text: &str) -> Parsed<(Self, Settings, Env)> {
+        let object: Value = serde_json::from_str(text).map_err(|e| format!("not a configuration: {e}"))?;
+        for key in ["name", "limits"] {
+            object.get(key).ok_or_else(|| format!("{key} is missing"))?;
+        }
+        let settings = object.get("settings").unwrap_or(&Value::Null);
+        if let Some(key) = missing(&self.settings, settings, "settings") {
+            return Err(format!("{key} is missing").into());
+        }
+        Self::read(text)
+    }
+
     /// Reads the text of a configuration file, its settings included.
     pub fn read(text: &str) -> Parsed<(Self, Settings, Env)> {
         let config: Self = serde_json::from_str(text).map_err(|e| format!("not a configuration: {e}"))?;
@@ -325,5 +349,26 @@
     }
 }
 
+/// A key that one object has and its successor lacks, the objects inside included. Of a list, an entry must have
+/// what all entries had.
+fn missing(before: &Value, after: &Value, path: &str) -> Option<String> {
+    match (before, after) {
+        (Value::Null, _) => None,
+        (Value::Object(before), Value::Object(after)) => before.iter().find_map(|(key, value)| {
+            missing(value, after.get(key).unwrap_or(&Value::Null), &format!("{path}.{key}"))
+        }),
+        (Value::Array(before), Value::Array(after)) => {
+            let first = before.first().and_then(Value::as_object)?;
+            let all = |key: &&String| before.iter().all(|entry| entry.get(key.as_str()).is_some());
+            let keys: Vec<_> = first.keys().filter(all).collect();
+            let lacks = |entry: &Value, key: &str| entry.get(key).is_none_or(Value::is_null);
+            let found = after.iter().find_map(|entry| keys.iter().find(|key| lacks(entry, key)));
+            found.map(|key| format!("{path}.{key}"))
+        }
+        (Value::Object(_) | Value::Array(_), _) | (_, Value::Null) => Some(path.to_owned()),
+        _ => None,
+    }
+}
+
 /// Descriptors without which a proxy can't do anything useful.
 pub const SOCKETS_LEAST: usize = 64;
--- a/src/state.rs
+++ b/src/state.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crate::estimate::Gauge;
-use crate::interface::{ClassId, GroupId, Outcome, Request, ServerId, ZoneId};
+use crate::interface::{Class, ClassId, GroupId, Outcome, Request, ServerId, ZoneId};
 
 /// A server's window: mplmax, and what the present period has shown.
 #[derive(Default)]
@@ -104,6 +104,8 @@
     /// Position that a session or strong read must see.
     pub token: f64,
     pub attempts: u32,
+    /// The limit on them when it came.
+    pub most_attempts: u32,
     pub out: u32,
     /// First send that may have run, and where.
     pub ran: Option<(f64, ServerId)>,
@@ -133,6 +135,7 @@
         deadline: f64,
         token: f64,
         over_share: bool,
+        most_attempts: u32,
     ) -> Self {
         Self {
             arrived,
@@ -140,6 +143,7 @@
             deadline,
             token,
             attempts: 0,
+            most_attempts,
             out: 0,
             ran: None,
             turned_away: Vec::new(),
@@ -164,6 +168,13 @@
     pub dev: f64,
 }
 
+impl ClassTime {
+    /// What is taken for a class's time before any answer.
+    pub fn guess(class: &Class) -> Self {
+        Self { mean: secs(class.aim) / 4.0, dev: secs(class.aim) / 8.0 }
+    }
+}
+
 #[derive(Default, Clone)]
 pub(crate) struct Meter {
     pub errors: Gauge,
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -197,3 +197,36 @@
     assert_eq!(clock.of_unix_ms(0.0), std::time::Duration::ZERO);
     assert_eq!(clock.of_unix_ms(f64::INFINITY), std::time::Duration::ZERO);
 }
+
+/// New settings leave open requests their rules: a changed class gets an id that none of them holds.
+#[test]
+fn new_settings_are_for_requests_that_come_after_them() {
+    let (exchange, mut orders) = start(Clock::start());
+    exchange.open(call(POST), "open");
+    exchange.step();
+    let open = sent(&mut orders).expect("an attempt");
+    let changed = Class { deadline: ms(900), ..settings().classes[POST.0].clone() };
+    let once = Settings {
+        classes: vec![settings().classes[LOOK.0].clone(), changed],
+        limits: Limits { attempts: 1, ..settings().limits },
+        ..settings()
+    };
+    let ids = exchange.retune(once.clone(), &[Some(LOOK), None], &[]);
+    assert_eq!(ids, [LOOK, OWN], "the slot of a class that is dropped and not held");
+    let (_, mut second) = exchange.open(call(ids[1]), "new");
+    exchange.step();
+    let new = sent(&mut orders).expect("an attempt");
+    for send in [open, new] {
+        exchange.ended(send.key, told(Outcome::ConnectFailed, true, exchange.clock().now()));
+    }
+    let again = std::iter::repeat_with(|| {
+        std::thread::yield_now(); // the server is tried again when the exchange's clock has gone on
+        exchange.step();
+        sent(&mut orders)
+    });
+    let again = again.take(1 << 22).flatten().next().expect("the old limit holds");
+    assert_eq!((*again.query, again.key.1), ("open", Attempt(1)));
+    assert!(matches!(second.try_recv(), Ok(Final::Refused(_))), "the new one allows no second attempt");
+    assert_eq!(exchange.retune(once, &[Some(LOOK), None], &[OWN]), [LOOK, ONCE], "both others are held");
+    assert_eq!(exchange.longest(), ms(2000));
+}
--- a/tests/network.rs
+++ b/tests/network.rs
@@ -589,6 +589,39 @@
     assert_eq!(kinds(&client.ask(&write(3000))), "TDCZ");
 }
 
+/// SIGHUP takes the whole file or nothing: what is dropped ends, what is new is served under its own rules.
+#[test]
+fn new_settings_take_effect_as_a_whole_or_not_at_all() {
+    let server = DataServer::start(true, ok);
+    let proxy = start(&[server.listed("a", "read-write", "Ready")]);
+    let mut client = Client::connect(&proxy);
+    let old = std::fs::read_to_string(&proxy.config).expect("it was written");
+    let mut reload = |text: String, word: &str| {
+        std::fs::write(&proxy.config, text).expect("a writable folder");
+        proxy.signal("HUP");
+        proxy.logged(word);
+        client.ask(&write(3000).replace("usage-write", "usage"))
+    };
+    let new = old.replace("usage-write", "usage");
+    for (broken, with) in [
+        (r#""DeadlineMs": 3000"#, r#""DeadlineMs": -5"#),
+        (r#""DeadlineMs": 3000"#, r#""DeadlineMs": "soon""#),
+        (r#""DeadlineMs": 3000,"#, ""),
+        (r#""AttemptsCap": 6"#, r#""AttemptsCap": 0"#),
+        (r#""AttemptsCap": 6,"#, ""),
+        (r#""AttemptsCap": 6"#, r#""AttemptsCap": null"#),
+        (r#""WarmUpMs": 18000"#, r#""Warm": 18000"#),
+        (r#""limits""#, r#""limit""#),
+        (&new, ""),
+        (&new[new.len() / 2..], ""),
+    ] {
+        let answer = reload(new.replace(broken, with), "kept as it was");
+        assert_eq!(field(&answer, b'C').as_deref(), Some("42601"), "{broken}");
+    }
+    assert_eq!(kinds(&reload(new, "read again")), "TDCZ");
+    until("the old name goes", || field(&client.ask(&write(3000)), b'C').as_deref() == Some("42601"));
+}
+
 #[test]
 fn encryption_is_declined_and_a_cancel_is_closed() {
     let proxy = start(&[]);
