Pass large values on as they come, and let long statements wait for room

Ruled out: memory (2 of 48 MB) and descriptors (139 of 1024).

servers.rs: Rest reads the rest of a row on its own connection; clients.rs: serve_value passes it on; buffers.rs: room gives out room for long statements in the order in which they come; clients.rs: cut, so that the digits of a long value are looked at where they lie. Values may have 4 MiB; a statement over 144 KiB has 2.5 s for each further piece.

--- a/examples/toy/peers.rs
+++ b/examples/toy/peers.rs
@@ -13,6 +13,8 @@
     Row(Vec<u8>),
     /// Answers with a row, and ends the connection without ReadyForQuery.
     LastRow(Vec<u8>),
+    /// Answers with these bytes, and ends the connection.
+    Last(Vec<u8>),
     /// Answers with an error of this code.
     Error(&'static str),
     /// Answers with these bytes.
@@ -137,6 +139,7 @@
         let position = format!("wal_time\0{}\0", now.as_millis() as i64 - 1000 * age);
         let said = match script(&text) {
             Say::Row(value) => row(&value),
+            Say::Last(bytes) => return stream.write_all(&bytes),
             Say::LastRow(value) => return stream.write_all(&row(&value)),
             Say::Error(code) => message(b'E', format!("SERROR\0C{code}\0Mno\0\0").as_bytes()),
             Say::Raw(bytes) => {
--- a/src/main.rs
+++ b/src/main.rs
@@ -42,7 +42,7 @@
 /// the 0.7 s past that deadline at which the platform kills what has not ended.
 const OVERTIME: Duration = Duration::from_millis(150);
 /// Part of the memory that is for bytes on their way; the rest is for the program and all it keeps.
-const BUFFER_SHARE: f64 = 0.5;
+const BUFFER_SHARE: f64 = 0.7;
 
 #[derive(Parser)]
 #[command(name = "pipittack", version, about)]
--- a/src/net/buffers.rs
+++ b/src/net/buffers.rs
@@ -4,12 +4,13 @@
 //! grow for a peer that has not sent anything: a buffer is taken once a socket has bytes to read, and goes back
 //! when they are done with.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, IoSlice};
 use std::ops::Range;
 use std::rc::Rc;
 
 use tokio::net::TcpStream;
+use tokio::sync::{Mutex, Notify};
 
 /// Size of each buffer; most statements and answers fit into one.
 pub const SIZE: usize = 8192;
@@ -18,14 +19,47 @@
 
 type Buffer = Box<[u8; SIZE]>;
 
+/// Parts of the buffers that long messages and very long ones may fill, so that neither keeps out the other, nor
+/// what fits into one buffer.
+const GATES: [f64; 2] = [0.125, 0.75];
+/// Bytes from which on a message is very long.
+const VERY_LONG: usize = 128 * 1024;
+
 /// Where buffers come from and go back to.
 #[derive(Clone)]
-pub struct Pool(Rc<RefCell<Stock>>);
+pub struct Pool(Rc<Shared>);
+
+struct Shared {
+    stock: RefCell<Stock>,
+    gates: [Gate; GATES.len()],
+}
+
+/// Where messages of one order of length wait for room, the first one first.
+#[derive(Default)]
+struct Gate {
+    turn: Mutex<()>,
+    held: Cell<usize>,
+    freed: Notify,
+}
+
+/// Room for a message, until it is done with.
+pub struct Room {
+    pool: Pool,
+    gate: usize,
+    bytes: usize,
+}
+
+impl Drop for Room {
+    fn drop(&mut self) {
+        let gate = &self.pool.0.gates[self.gate];
+        gate.held.set(gate.held.get() - self.bytes);
+        gate.freed.notify_one();
+    }
+}
 
 struct Stock {
     unused: Vec<Buffer>,
-    lent: usize,
-    /// Buffers that may be lent before they are short, and the part of them that counts now.
+    /// Buffers that may be lent, and the part of them that counts now.
     most: usize,
     part: f64,
 }
@@ -40,19 +74,33 @@
 impl Pool {
     /// A pool that is meant to lend so many bytes at the most.
     pub fn new(bytes: usize) -> Self {
-        Self(Rc::new(RefCell::new(Stock { unused: Vec::new(), lent: 0, most: bytes / SIZE, part: 1.0 })))
+        let stock = RefCell::new(Stock { unused: Vec::new(), most: bytes / SIZE, part: 1.0 });
+        Self(Rc::new(Shared { stock, gates: Default::default() }))
     }
 
-    /// Whether more than this part of what may be lent is lent. One buffer for each socket is always to be
-    /// had; whoever wants more asks first.
-    pub fn is_short(&self, part: f64) -> bool {
-        let stock = self.0.borrow();
-        stock.lent as f64 > stock.most as f64 * stock.part * part
+    /// Waits until there is room for a message of this length. One buffer for each socket is always to be had;
+    /// whoever wants more asks first, for all of it: guards against messages that each hold half of what they
+    /// need. One is let in where none is, however long.
+    pub async fn room(&self, bytes: usize) -> Room {
+        let number = usize::from(bytes >= VERY_LONG);
+        let gate = &self.0.gates[number];
+        let _turn = gate.turn.lock().await;
+        while gate.held.get() > 0 && gate.held.get() + bytes > self.most(GATES[number]) {
+            gate.freed.notified().await;
+        }
+        gate.held.set(gate.held.get() + bytes);
+        Room { pool: self.clone(), gate: number, bytes }
+    }
+
+    fn most(&self, part: f64) -> usize {
+        let stock = self.0.stock.borrow();
+        (stock.most as f64 * stock.part * part) as usize * SIZE
     }
 
     /// Leaves all but this part of the buffers to another process.
     pub fn set_part(&self, part: f64) {
-        self.0.borrow_mut().part = part;
+        self.0.stock.borrow_mut().part = part;
+        self.0.gates.iter().for_each(|gate| gate.freed.notify_one());
     }
 
     /// An empty chain that takes its buffers from here.
@@ -62,19 +110,17 @@
 
     /// How many buffers lie unused.
     pub fn unused(&self) -> usize {
-        self.0.borrow().unused.len()
+        self.0.stock.borrow().unused.len()
     }
 
     fn take(&self) -> Buffer {
-        let mut stock = self.0.borrow_mut();
-        stock.lent += 1;
+        let mut stock = self.0.stock.borrow_mut();
         stock.unused.pop().unwrap_or_else(|| Box::new([0; SIZE]))
     }
 
     fn give_back(&self, buffers: impl Iterator<Item = Buffer>) {
-        let mut stock = self.0.borrow_mut();
+        let mut stock = self.0.stock.borrow_mut();
         for buffer in buffers {
-            stock.lent -= 1;
             if stock.unused.len() < KEPT {
                 stock.unused.push(buffer);
             }
@@ -127,6 +173,12 @@
         self.pieces(range).for_each(|piece| to.extend_from_slice(piece));
     }
 
+    /// Gives all its buffers back.
+    pub fn clear(&mut self) {
+        self.len = 0;
+        self.trim();
+    }
+
     /// The first bytes as an array, if there are that many from `at` on.
     pub fn array<const N: usize>(&self, at: usize) -> Option<[u8; N]> {
         if at + N > self.len {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -8,6 +8,7 @@
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::io::{self, IoSlice};
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,11 +18,11 @@
 use tokio::task::AbortHandle;
 use tokio::time::{sleep_until, timeout, Instant};
 
-use super::buffers::{self, write_all, Chain, Pool};
+use super::buffers::{self, write_all, Chain, Pool, Room};
 use super::exchange::{Call, Final};
 use super::handover::Successor;
 use super::pg::{self, Severity, Startup};
-use super::servers::{PgExchange, Query};
+use super::servers::{Answer, PgExchange, Query};
 use crate::interface::*;
 
 /// Time within which a new client must have sent its startup packet, and any client the rest of a message
@@ -31,8 +32,8 @@
 const STANDS_LEAST: Duration = Duration::from_secs(2);
 /// Part of the places from which on each new client has room made for it.
 const CROWDED: f64 = 0.5;
-/// Part of the buffers beyond which a client may not fill more than one.
-const LONG_MESSAGES: f64 = 0.5;
+/// Time in which a message of any length must have come.
+const LONGEST_MESSAGE: Duration = Duration::from_secs(20);
 /// Time within which a client must have taken an answer.
 const WRITE_WITHIN: Duration = Duration::from_secs(10);
 /// Time for which what a client still sends is read after its last answer, so that it gets that answer.
@@ -49,6 +50,10 @@
 /// Time between warnings of one kind.
 const WARN_EVERY: Duration = Duration::from_secs(10);
 const BACKLOG: u32 = 1024;
+/// The longest message that must come as a whole within [`MESSAGE_WITHIN`]; of a longer one, some more must.
+const WITHIN_MOST: usize = 144 * 1024;
+/// The parts at the start and the end of a long statement that are looked at word by word.
+const ENDS: usize = 4096;
 /// Where the text of a query stands in its message.
 const TEXT_AT: usize = 5;
 
@@ -269,7 +274,8 @@
         let task = tokio::task::spawn_local(async move {
             let side = &*place.0;
             let inbound = side.pool.chain();
-            let mut client = Client { inbound, side, number, stream, stage, asked: false, leaves: false };
+            let (room, asked, leaves) = (None, false, false);
+            let mut client = Client { inbound, side, number, stream, stage, room, asked, leaves };
             if let Err(e) = client.serve().await {
                 return log::debug!("client connection: {e}");
             }
@@ -396,6 +402,8 @@
     stream: TcpStream,
     inbound: Chain,
     stage: Stage,
+    /// Room for the message that comes in, where one buffer does not hold it.
+    room: Option<Room>,
     /// It has asked something that went to the exchange.
     asked: bool,
     /// It stands between requests, and this process lets it go.
@@ -512,9 +520,11 @@
         }
     }
 
-    /// The next whole message; none when the client is gone, or when the proxy closes between requests.
+    /// The next whole message; none when the client is gone, or when the proxy closes between requests. One
+    /// that does not fit into a buffer is read on once there is room for it.
     async fn next_message(&mut self) -> io::Result<Option<Chain>> {
-        let mut late = None;
+        let (mut late, mut begun, mut long) = (None, Instant::now(), false);
+        self.room = None;
         loop {
             if let Some(header) = self.inbound.array(0) {
                 let length = pg::header(header).map(|(_, length)| length).filter(|n| *n <= pg::QUERY_MOST);
@@ -525,16 +535,17 @@
                 if self.inbound.len() >= length {
                     return Ok(Some(self.inbound.split_to(length)));
                 }
-            }
-            if self.inbound.len() >= buffers::SIZE && self.side.pool.is_short(LONG_MESSAGES) {
-                self.expel("53200", "out of memory").await?;
-                return Ok(None);
+                if self.inbound.len() >= buffers::SIZE && self.room.is_none() {
+                    self.room = Some(self.side.pool.room(length).await);
+                    long = length > WITHIN_MOST;
+                    begun = Instant::now();
+                }
             }
             let between = self.inbound.is_empty();
             let standing = if self.asked { &self.side.idle } else { &self.side.silent };
             let _stands = between.then(|| Stands::new(standing, self.number));
-            if !between && late.is_none() {
-                late = Some(Instant::now() + MESSAGE_WITHIN);
+            if !between && (late.is_none() || long) {
+                late = Some((Instant::now() + MESSAGE_WITHIN).min(begun + LONGEST_MESSAGE));
             }
             if !self.more(late).await? {
                 return Ok(None);
@@ -543,9 +554,13 @@
     }
 
     async fn query(&mut self, message: Chain) -> io::Result<Flow> {
+        let cut = cut(&message);
         let parsed = {
             let mut scratch = self.side.scratch.borrow_mut();
-            message.copy(TEXT_AT..message.len(), &mut scratch);
+            scratch.clear();
+            for part in [TEXT_AT..cut.start, cut.end..message.len()] {
+                message.pieces(part).for_each(|piece| scratch.extend_from_slice(piece));
+            }
             scratch.split_last().filter(|(end, _)| **end == 0).map(|(_, text)| pg::query(text))
         };
         let Some(parsed) = parsed else {
@@ -569,13 +584,18 @@
                 })
                 .await
             }
-            Some(pg::Query::Routed(statement)) => self.request(statement, message).await,
+            Some(pg::Query::Routed(statement)) => self.request(statement, message, cut).await,
             None => self.reject("42601", "not a statement that this proxy can route").await,
         }
     }
 
     /// Takes a request through the exchange.
-    async fn request(&mut self, statement: pg::Statement, message: Chain) -> io::Result<Flow> {
+    async fn request(
+        &mut self,
+        statement: pg::Statement,
+        message: Chain,
+        cut: Range<usize>,
+    ) -> io::Result<Flow> {
         let class = self.side.rules.borrow().class(&statement.class);
         let Some((id, class)) = class else {
             return self.reject("42601", "the statement names no known class").await;
@@ -591,7 +611,9 @@
             return self.reject("08P01", "the statement has the id of another open request").await;
         }
         let open_id = OpenId(self.side, statement.id);
-        let wait_at = statement.wait_at.start + TEXT_AT..statement.wait_at.end + TEXT_AT;
+        let place =
+            |at: usize| if at + TEXT_AT < cut.start { at + TEXT_AT } else { at + TEXT_AT + cut.len() };
+        let wait_at = place(statement.wait_at.start)..place(statement.wait_at.end);
         let call = Call {
             class: id,
             group: GroupId(statement.group),
@@ -601,7 +623,8 @@
             after_unix_ms: statement.after,
         };
         self.asked = true;
-        let (request, mut answer) = self.side.exchange.open(call, Query { message, wait_at });
+        let (request, mut answer) =
+            self.side.exchange.open(call, Query { message, wait_at, room: self.room.take() });
         let answer = loop {
             let room = self.inbound.len() < buffers::SIZE;
             tokio::select! {
@@ -616,13 +639,7 @@
         };
         drop(open_id);
         match answer {
-            Ok(Final::Served(answer)) => {
-                let mut ready = Vec::new();
-                pg::ready(&mut ready);
-                let mut pieces: Vec<_> = answer.pieces().chain([&ready[..]]).map(IoSlice::new).collect();
-                timeout(WRITE_WITHIN, write_all(&self.stream, &mut pieces)).await??;
-                Ok(Flow::GoOn)
-            }
+            Ok(Final::Served(answer)) => self.serve_value(answer).await,
             Ok(Final::Refused(hint)) => {
                 self.reply(|out| {
                     let hint = hint.map(|h| h.as_millis().to_string());
@@ -644,6 +661,30 @@
         }
     }
 
+    /// Passes a value on. A large one goes on as it comes; where its rest fails, so does this connection: what
+    /// has been passed on can't be taken back, and its client must be able to tell.
+    async fn serve_value(&self, mut answer: Answer) -> io::Result<Flow> {
+        let mut ready = Vec::new();
+        pg::ready(&mut ready);
+        let whole = !answer.goes_on();
+        let mut pieces: Vec<_> = answer.pieces().map(IoSlice::new).collect();
+        if whole {
+            pieces.push(IoSlice::new(&ready));
+        }
+        timeout(WRITE_WITHIN, write_all(&self.stream, &mut pieces)).await??;
+        drop(pieces);
+        if whole {
+            return Ok(Flow::GoOn);
+        }
+        answer.clear();
+        while let Some(piece) = answer.more().await? {
+            let mut pieces: Vec<_> = piece.pieces(0..piece.len()).map(IoSlice::new).collect();
+            timeout(WRITE_WITHIN, write_all(&self.stream, &mut pieces)).await??;
+        }
+        self.write(&ready).await?;
+        Ok(Flow::GoOn)
+    }
+
     async fn write(&self, bytes: &[u8]) -> io::Result<()> {
         timeout(WRITE_WITHIN, write_all(&self.stream, &mut [IoSlice::new(bytes)])).await?
     }
@@ -688,3 +729,16 @@
         Ok(Flow::End)
     }
 }
+
+/// The digits in the middle of a long statement's value, which need not be looked at word by word: an even number
+/// of them, so that the rest is a statement as the whole is. Empty where there are none. Guards against copying
+/// megabytes into one piece.
+fn cut(message: &Chain) -> Range<usize> {
+    let (start, end) = (TEXT_AT + ENDS, message.len().saturating_sub(ENDS) & !1 | (TEXT_AT + ENDS) & 1);
+    let digits = |piece: &[u8]| piece.iter().fold(true, |all, byte| all & byte.is_ascii_hexdigit());
+    if start < end && end < message.len() && message.pieces(start..end).all(digits) {
+        start..end
+    } else {
+        start..start
+    }
+}
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -321,13 +321,11 @@
     /// An attempt ended. What comes for one that has ended before is dropped.
     pub fn ended(&self, key: Key, ending: Ending<A>) {
         let now = self.0.clock.now();
-        let mut books = self.0.books.borrow_mut();
-        let Some(out) = books.out.remove(&key) else { return };
+        let Some(out) = self.0.books.borrow_mut().out.remove(&key) else { return };
         if let Some(note) = ending.note {
-            let known = books.positions.get(&out.server).copied().flatten();
-            let replica = note.primary == Some(false);
-            books.positions.insert(out.server, note.position.max(known).filter(|_| replica));
+            self.heard(out.server, note);
         }
+        let mut books = self.0.books.borrow_mut();
         // The first answer goes to the client at once, and ends the request.
         if let Some(answer) = ending.answer.filter(|_| ending.outcome == Outcome::Ok) {
             if let Some(open) = books.open.remove(&key.0) {
@@ -348,6 +346,24 @@
         self.0.news.notify_one();
     }
 
+    /// A server told where it stands beside an answer that had ended before.
+    pub fn told(&self, server: ServerId, note: Option<Note>) {
+        let Some(Note { position, primary }) = note else { return };
+        self.heard(server, Note { position, primary });
+        self.tell(Event::Probed {
+            server,
+            ok: true,
+            report: Some(Report { position, primary, ..Report::default() }),
+        });
+    }
+
+    fn heard(&self, server: ServerId, note: Note) {
+        let mut books = self.0.books.borrow_mut();
+        let known = books.positions.get(&server).copied().flatten();
+        let replica = note.primary == Some(false);
+        books.positions.insert(server, note.position.max(known).filter(|_| replica));
+    }
+
     /// Where servers stand, as far as this process has been told.
     pub fn known(&self) -> Vec<Stand> {
         let books = self.0.books.borrow();
--- a/src/net/pg.rs
+++ b/src/net/pg.rs
@@ -16,13 +16,13 @@
 use winnow::token::{literal, take, take_till, take_until, take_while};
 
 /// The longest value.
-pub const VALUE_MOST: usize = 64 * 1024;
-/// The longest query taken from a client: a value of 64 KiB in hex, and its statement.
-pub const QUERY_MOST: usize = 144 * 1024;
+pub const VALUE_MOST: usize = 4 << 20;
+/// The longest query taken from a client: such a value in hex, and its statement.
+pub const QUERY_MOST: usize = 2 * VALUE_MOST + 16 * 1024;
 /// The longest startup packet, as PostgreSQL has it.
 pub const STARTUP_MOST: usize = 10_000;
 /// The longest answer taken from a data server: such a value, whether in hex or not.
-pub const ANSWER_MOST: usize = 144 * 1024;
+pub const ANSWER_MOST: usize = 2 * VALUE_MOST + 16 * 1024;
 
 type Failure = ErrMode<ContextError>;
 
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -19,7 +19,7 @@
 use tokio::task::AbortHandle;
 use tokio::time::{timeout, timeout_at, Instant};
 
-use super::buffers::{write_all, Chain, Pool};
+use super::buffers::{write_all, Chain, Pool, Room};
 use super::exchange::{Clock, Ending, Exchange, Key, Order, Send};
 use super::pg;
 use crate::estimate::{Gauge, Memory};
@@ -32,6 +32,12 @@
 const IDLE_SHARE: f64 = 0.6;
 /// Time within which an answer that has begun goes on: servers write theirs in one go.
 const GOES_ON_WITHIN: Duration = Duration::from_millis(500);
+/// Time without a byte after which the rest of a large value is not waited for any more.
+const SILENT_MOST: Duration = Duration::from_secs(3);
+/// The longest row that is read whole and checked before any of it is passed on.
+const WHOLE_MOST: usize = 64 * 1024 + 64;
+/// Bytes of a large value that are read before they are passed on.
+const PIECE: usize = 32 * 1024;
 /// Time after which an attempt that has not begun is decided on again: its server may drain by now.
 const SENT_WITHIN: Duration = Duration::from_millis(1500);
 /// A position ahead of the clock by more than this is none.
@@ -80,20 +86,113 @@
     pub message: Chain,
     /// Where in it the digits of `d` stand.
     pub wait_at: Range<usize>,
+    /// The room that it takes, where one buffer does not hold it.
+    pub room: Option<Room>,
 }
 
-/// A whole value as a data server gave it: RowDescription, DataRow and CommandComplete. What the server says
-/// of itself beside them stays here.
+/// A value as a data server gave it: RowDescription, DataRow and CommandComplete, whole or, where it is large,
+/// as far as it had come when it began. What the server says of itself beside them stays here.
 pub struct Answer {
     bytes: Chain,
-    messages: [Range<usize>; 3],
+    messages: Vec<Range<usize>>,
+    rest: Option<Rest>,
 }
 
 impl Answer {
-    /// Its bytes, in the pieces they lie in.
+    /// The bytes that are here, in the pieces they lie in.
     pub fn pieces(&self) -> impl Iterator<Item = &[u8]> {
         self.messages.iter().flat_map(|at| self.bytes.pieces(at.clone()))
     }
+
+    /// Whether there is more to come.
+    pub fn goes_on(&self) -> bool {
+        self.rest.is_some()
+    }
+
+    /// Frees those bytes, once they have been passed on.
+    pub fn clear(&mut self) {
+        self.messages.clear();
+        self.bytes.clear();
+    }
+
+    /// The next bytes of a large value as they come; none at its end. What fails here leaves the value spoilt.
+    pub async fn more(&mut self) -> io::Result<Option<Chain>> {
+        match &mut self.rest {
+            Some(rest) => {
+                let piece = rest.next().await?;
+                if piece.is_none() {
+                    self.rest.take().into_iter().for_each(Rest::finish);
+                }
+                Ok(piece)
+            }
+            None => Ok(None),
+        }
+    }
+}
+
+/// What is still to come of a large value, on the connection that it comes on. It is read as fast as the client
+/// takes it, and no faster, so that few buffers do.
+struct Rest {
+    side: Rc<Side>,
+    server: ServerId,
+    connection: Connection,
+    /// Bytes of the row that have not come.
+    left: usize,
+    /// What follows the row.
+    reply: Reply,
+    /// CommandComplete has come and been passed on.
+    complete: bool,
+}
+
+impl Rest {
+    async fn next(&mut self) -> io::Result<Option<Chain>> {
+        while !self.complete {
+            if self.left == 0 {
+                self.reply.take_in()?;
+                if self.reply.code.is_some() {
+                    return Err(io::ErrorKind::InvalidData.into());
+                }
+                if let Some(at) = self.reply.value.get(2) {
+                    let mut tag = self.side.pool.chain();
+                    self.reply.bytes.pieces(at.clone()).for_each(|piece| tag.extend(piece));
+                    self.complete = true;
+                    return Ok(Some(tag));
+                }
+            }
+            let (stream, bytes) = (&self.connection.stream, &mut self.reply.bytes);
+            if timeout(SILENT_MOST, bytes.fill(stream)).await?? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            if self.left > 0 {
+                while bytes.len() < PIECE && bytes.fill_now(stream).is_ok_and(|n| n > 0) {}
+                let piece = bytes.split_to(bytes.len().min(self.left));
+                self.left -= piece.len();
+                return Ok(Some(piece));
+            }
+        }
+        Ok(None)
+    }
+
+    /// Reads on to the end of the answer, for the sake of the connection and of what the server says of itself.
+    fn finish(mut self) {
+        tokio::task::spawn_local(async move {
+            let end = async {
+                while !self.reply.take_in()? {
+                    if self.reply.bytes.fill(&self.connection.stream).await? == 0 {
+                        return Err(io::ErrorKind::UnexpectedEof.into());
+                    }
+                }
+                Ok::<(), io::Error>(())
+            };
+            if timeout(GOES_ON_WITHIN, end).await.is_ok_and(|end| end.is_ok()) {
+                let Self { side, server, connection, reply, .. } = self;
+                side.exchange.told(server, reply.note(side.exchange.clock()));
+                if reply.reusable() {
+                    side.give_back(server, connection);
+                }
+            }
+        });
+    }
 }
 
 /// The exchange as both sides of this protocol use it.
@@ -279,7 +378,7 @@
         self.exchange.clock().now().as_secs_f64()
     }
 
-    async fn attempt(&self, send: &Send<Query>) -> Ending<Answer> {
+    async fn attempt(self: &Rc<Self>, send: &Send<Query>) -> Ending<Answer> {
         let stage = Cell::new(Stage::Waits);
         let outcome = match timeout_at(send.until, self.converse(send, &stage)).await {
             Ok(Ok(ending)) => return ending,
@@ -301,7 +400,11 @@
         Ending::without_answer(outcome)
     }
 
-    async fn converse(&self, send: &Send<Query>, stage: &Cell<Stage>) -> io::Result<Ending<Answer>> {
+    async fn converse(
+        self: &Rc<Self>,
+        send: &Send<Query>,
+        stage: &Cell<Stage>,
+    ) -> io::Result<Ending<Answer>> {
         let ordered = Instant::now();
         let connection = match self.checkout(send.server, stage).await? {
             Checkout::Ready(connection) => connection,
@@ -325,12 +428,31 @@
         let broke = reply.as_ref().is_err_and(|e| e.kind() != io::ErrorKind::InvalidData);
         self.wear.borrow_mut().learn(self.now(), stood, broke);
         let reply = reply?;
+        if let Some(left) = reply.begun {
+            return Ok(self.begin(reply, left, send.server, connection));
+        }
         if reply.reusable() {
             self.give_back(send.server, connection);
         }
         Ok(reply.ending(self.exchange.clock()))
     }
 
+    /// A large value has begun: it is its request's answer, whatever becomes of the rest.
+    fn begin(
+        self: &Rc<Self>,
+        reply: Reply,
+        left: usize,
+        server: ServerId,
+        connection: Connection,
+    ) -> Ending<Answer> {
+        let mut rest = Reply::new(self.pool.chain(), Asked::Statement);
+        rest.value = vec![0..0; 2];
+        let Reply { bytes, value: messages, .. } = reply;
+        let rest = Rest { side: self.clone(), server, connection, left, reply: rest, complete: false };
+        let answer = Some(Answer { bytes, messages, rest: Some(rest) });
+        Ending { answer, ..Ending::without_answer(Outcome::Ok) }
+    }
+
     async fn probe(&self, server: ServerId) -> (bool, Option<Report>) {
         let text = if self.options.borrow().probe_reports { "SHOW stats" } else { "SELECT 1" };
         let ask = async {
@@ -422,7 +544,7 @@
     async fn reply(&self, stream: &TcpStream, asked: Asked) -> io::Result<Reply> {
         let mut reply = Reply::new(self.pool.chain(), asked);
         loop {
-            if reply.take_in()? {
+            if reply.take_in()? || reply.begun.is_some() {
                 return Ok(reply);
             }
             let begun = !reply.bytes.is_empty();
@@ -496,6 +618,8 @@
     ready: bool,
     /// Where the messages of the value lie, as far as they have come.
     value: Vec<Range<usize>>,
+    /// Its row is large and has begun: bytes of it that are still to come.
+    begun: Option<usize>,
     welcomed: bool,
     code: Option<[u8; 5]>,
     primary: Option<bool>,
@@ -512,6 +636,7 @@
             scratch: Vec::new(),
             ready: false,
             value: Vec::new(),
+            begun: None,
             welcomed: false,
             code: None,
             primary: None,
@@ -529,6 +654,7 @@
                 return Err(io::ErrorKind::InvalidData.into());
             }
             if end > self.bytes.len() {
+                self.begin(kind, length)?;
                 return Ok(false);
             }
             let whole = self.at..end;
@@ -542,6 +668,23 @@
         Ok(false)
     }
 
+    /// Sees whether a large row has begun as it must. Guards against passing on what was spoilt from the start,
+    /// and against waiting for all of what no buffers would hold.
+    fn begin(&mut self, kind: u8, length: usize) -> io::Result<()> {
+        let fits = self.asked == Asked::Statement && kind == b'D' && length > WHOLE_MOST;
+        let column = self.bytes.array::<6>(self.at + 5).filter(|_| fits);
+        let Some([0, 1, column @ ..]) = column else {
+            return if column.is_some() { Err(io::ErrorKind::InvalidData.into()) } else { Ok(()) };
+        };
+        let whole = u32::from_be_bytes(column) as usize + 11 == length;
+        if !whole || self.value.len() != 1 || self.code.is_some() {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
+        self.value.push(self.at..self.bytes.len());
+        self.begun = Some(self.at + length - self.bytes.len());
+        Ok(())
+    }
+
     /// Takes in a message whose body lies in `scratch`; none if it can't be what comes next.
     fn message(&mut self, kind: u8, whole: Range<usize>) -> Option<()> {
         let body = &self.scratch[..];
@@ -614,15 +757,20 @@
             Some(b"53300") => Outcome::Full,
             _ => Outcome::Error,
         };
-        let position = self.position_ms.and_then(|ms| position(ms, clock));
-        let heard = position.is_some() || self.primary.is_some();
-        let note = heard.then_some(Note { position, primary: self.primary });
+        let note = self.note(clock);
         let report = self.stats.as_deref().map(|text| report(text, clock));
-        let value = <[_; 3]>::try_from(self.value).ok().filter(|_| outcome == Outcome::Ok);
-        let answer = value.map(|messages| Answer { bytes: self.bytes, messages });
+        let value = Some(self.value).filter(|value| value.len() == 3 && outcome == Outcome::Ok);
+        let answer = value.map(|messages| Answer { bytes: self.bytes, messages, rest: None });
         Ending { outcome, note, report, answer }
     }
 
+    /// What it says of its server.
+    fn note(&self, clock: Clock) -> Option<Note> {
+        let position = self.position_ms.and_then(|ms| position(ms, clock));
+        let heard = position.is_some() || self.primary.is_some();
+        heard.then_some(Note { position, primary: self.primary })
+    }
+
     fn probe_report(&self, clock: Clock) -> Option<Report> {
         let mut row = Vec::new();
         let at = self.value.get(1)?;
