Give crowds of clients the sockets that data servers leave, and end idle ones at 2 s

In a crowd 27 to 60 of 128 connections had sent no byte, 15 half a startup packet.

Places for clients go up to 0.86 of the sockets, and the data servers' side keeps to what is left (servers.rs, settle; clients.rs, share_sockets). The reserve is 28 descriptors in place of 48, with 8 calls and 8 that are turned away. Connections that stood for 2 s without an open request end by themselves in a crowd, not only when another comes (clients.rs, run). What has sent half a startup packet no longer counts as silent (clients.rs, start).

--- a/src/main.rs
+++ b/src/main.rs
@@ -31,9 +31,10 @@
 
 /// Descriptors for all that is neither a client nor a data server: standard streams, the listener, discovery,
 /// the runtime's own, and clients that are turned away.
-const RESERVE: usize = 48;
-/// Part of the rest that is for clients.
-const CLIENT_SHARE: f64 = 0.55;
+const RESERVE: usize = 28;
+/// Part of the rest that is for clients, and that which they may have where they come in crowds; what they don't
+/// have is for data servers.
+const CLIENT_SHARE: (f64, f64) = (0.55, 0.86);
 /// Time after which a process is ready without news of discovery.
 const LISTED_WITHIN: Duration = Duration::from_millis(4500);
 /// After SIGTERM, time for which new clients still come.
@@ -139,7 +140,7 @@
     let pool = Pool::new((config.limits.memory_mb as f64 * 1e6 * BUFFER_SHARE) as usize);
     let seed = config.seed().map_err(|e| e.to_string())?;
     let sockets = sockets(config.limits.sockets)?;
-    let for_clients = (sockets as f64 * CLIENT_SHARE) as usize;
+    let part = |share: f64| (sockets as f64 * share) as usize;
 
     let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
@@ -167,9 +168,11 @@
     };
     let address = listener.local_addr().map_err(|e| format!("can't listen: {e}"))?;
 
-    let to_servers = servers::Options::new(&settings, &env, sockets - for_clients);
+    let to_servers = servers::Options::new(&settings, &env, sockets - part(CLIENT_SHARE.0));
     let to_clients = clients::Options {
-        clients: for_clients,
+        clients: part(CLIENT_SHARE.1),
+        usual: part(CLIENT_SHARE.0),
+        sockets,
         classes: env
             .names
             .classes()
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -19,7 +19,7 @@
 use tokio::time::{sleep_until, timeout, Instant};
 
 use super::buffers::{self, write_all, Chain, Pool, Room};
-use super::exchange::{Call, Final};
+use super::exchange::{Call, Final, Order};
 use super::handover::Successor;
 use super::pg::{self, Severity, Startup};
 use super::servers::{Answer, PgExchange, Query};
@@ -28,10 +28,16 @@
 /// Time within which a new client must have sent its startup packet, and any client the rest of a message
 /// that it has begun. Whoever can't be served is owed an end 3 s after connecting.
 const MESSAGE_WITHIN: Duration = Duration::from_millis(2500);
+/// Time in which a client that is to be turned away must say who it is, to be told so.
+const ANSWERED_WITHIN: Duration = Duration::from_millis(100);
 /// Time without an open request after which a client may be closed to make room for another.
 const STANDS_LEAST: Duration = Duration::from_secs(2);
-/// Part of the places from which on each new client has room made for it.
+/// Part of the usual places from which on connections are closed that may be.
 const CROWDED: f64 = 0.5;
+/// Time between looks for them.
+const SWEEP_EVERY: Duration = Duration::from_millis(50);
+/// Clients in whose steps sockets are shared with the other side.
+const STEP: usize = 4;
 /// Time in which a message of any length must have come.
 const LONGEST_MESSAGE: Duration = Duration::from_secs(20);
 /// Time within which a client must have taken an answer.
@@ -41,7 +47,7 @@
 /// Bytes of it that are read at the most.
 const LINGER_BYTES: usize = 1 << 20;
 /// Clients over the limit that are told so at the same time; what exceeds them is closed without a word.
-const TURNED_AWAY_MOST: usize = 16;
+const TURNED_AWAY_MOST: usize = 8;
 /// Time for which clients still come after the front was told to send no more: it asks each 0.1 s, and sends
 /// some for 0.2 s after that.
 const STILL_COME: Duration = Duration::from_millis(600);
@@ -61,6 +67,10 @@
 pub struct Options {
     /// Clients at the most; further ones are told so and turned away.
     pub clients: usize,
+    /// Clients beyond whom each one takes a socket from the data servers' side.
+    pub usual: usize,
+    /// Sockets of both sides together.
+    pub sockets: usize,
     /// The classes of requests, by their names.
     pub classes: HashMap<String, (ClassId, Class)>,
 }
@@ -82,8 +92,12 @@
 
 struct Side {
     exchange: PgExchange,
-    /// Clients at the most.
+    /// Clients at the most, those beyond whom each takes a socket from the other side, and all sockets.
     most: usize,
+    usual: usize,
+    sockets: usize,
+    /// Sockets that the other side was left.
+    left_to_servers: Cell<usize>,
     rules: RefCell<Rules>,
     pool: Pool,
     /// For texts that must lie in one piece while they are parsed; one for all, so that none is kept idle.
@@ -143,6 +157,9 @@
         Self(Rc::new(Side {
             exchange,
             most: options.clients,
+            usual: options.usual,
+            sockets: options.sockets,
+            left_to_servers: Cell::new(options.sockets - options.usual),
             rules: RefCell::new(Rules {
                 classes: options.classes,
                 dropped: HashMap::new(),
@@ -167,8 +184,10 @@
     /// Takes in clients until [`Self::close`]. Must run inside a [`tokio::task::LocalSet`].
     pub async fn run(&self, listener: TcpListener) {
         let mut door = self.0.door.subscribe();
+        let mut sweep = tokio::time::interval(SWEEP_EVERY);
         loop {
             tokio::select! {
+                _ = sweep.tick() => while self.is_crowded() && self.0.make_room() {},
                 accepted = listener.accept() => self.admit(accepted).await,
                 _ = door.wait_for(|door| *door == Door::Closed) => break,
             }
@@ -254,7 +273,7 @@
         };
         let (side, limit) = (self.0.clone(), self.limit());
         let connected = || side.connected.borrow().len();
-        let room = connected() as f64 >= limit as f64 * CROWDED && side.make_room();
+        let room = self.is_crowded() && side.make_room();
         let full = connected() >= limit && !room;
         if full {
             side.warn_full();
@@ -265,6 +284,10 @@
         self.spawn(stream, Stage::New { full });
     }
 
+    fn is_crowded(&self) -> bool {
+        self.0.connected.borrow().len() as f64 >= self.0.usual.min(self.limit()) as f64 * CROWDED
+    }
+
     /// Serves a connection in a task of its own, from a stage on.
     fn spawn(&self, stream: TcpStream, stage: Stage) {
         let side = self.0.clone();
@@ -288,6 +311,7 @@
             }
         });
         side.connected.borrow_mut().insert(number, task.abort_handle());
+        side.share_sockets();
     }
 
     /// Takes over a connection that stands between requests; `started` if its startup is done.
@@ -308,7 +332,7 @@
 
     /// Keeps to half of the places, or to what is taken if that is more; gives how many these are.
     pub fn halve(&self) -> usize {
-        let kept = (self.limit() / 2).max(self.0.connected.borrow().len()).min(self.limit());
+        let kept = (self.0.usual / 2).max(self.0.connected.borrow().len()).min(self.limit());
         self.set_limit(Some(kept));
         kept
     }
@@ -342,6 +366,15 @@
         client.is_some()
     }
 
+    /// Leaves the side of the data servers what clients don't need, in steps.
+    fn share_sockets(&self) {
+        let clients = self.connected.borrow().len().next_multiple_of(STEP) + STEP;
+        let left = self.sockets - clients.clamp(self.usual, self.sockets);
+        if self.left_to_servers.replace(left) != left {
+            self.exchange.order(Order::Sockets(left));
+        }
+    }
+
     /// Warns of a client that is turned away, not more often than whoever reads the log can bear.
     fn warn_full(&self) {
         let (before, warned) = self.turned_away.get();
@@ -366,6 +399,7 @@
 impl Drop for Place {
     fn drop(&mut self) {
         self.0.connected.borrow_mut().remove(&self.1);
+        self.0.share_sockets();
         self.0.left.notify_waiters();
     }
 }
@@ -430,7 +464,6 @@
     async fn serve(&mut self) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
         if let Stage::New { full } = self.stage {
-            let _stands = Stands::new(&self.side.silent, self.number);
             if self.start(full).await? == Flow::End {
                 return Ok(());
             }
@@ -486,13 +519,16 @@
     }
 
     async fn start(&mut self, full: bool) -> io::Result<Flow> {
-        let late = Some(Instant::now() + MESSAGE_WITHIN);
+        let late = Some(Instant::now() + if full { ANSWERED_WITHIN } else { MESSAGE_WITHIN });
         loop {
             let length = self.inbound.array::<4>(0).map(|b| u32::from_be_bytes(b) as usize);
             if length.is_some_and(|n| !(8..=pg::STARTUP_MOST).contains(&n)) {
                 return self.expel("08P01", "invalid length of startup packet").await;
             }
             let Some(length) = length.filter(|n| self.inbound.len() >= *n) else {
+                // Who is slow is not silent.
+                let silent = self.inbound.is_empty();
+                let _stands = silent.then(|| Stands::new(&self.side.silent, self.number));
                 if !self.more(late).await? {
                     return Ok(Flow::End);
                 }
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -90,6 +90,8 @@
     Forget(ServerId),
     /// Connections must be up within the first time, and are not used again after the second one idle.
     Patience(Duration, Duration),
+    /// So many sockets are left to the side of the data servers by that of the clients.
+    Sockets(usize),
     /// The part of all sockets and buffers that may be used, the rest being another process's.
     Share(f64),
 }
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -29,7 +29,7 @@
 use super::servers::PgExchange;
 
 /// Calls at the same time; a further one ends the one that has been there longest.
-const CALLS_MOST: usize = 16;
+const CALLS_MOST: usize = 8;
 /// Time within which a call must have come.
 const CALL_WITHIN: Duration = Duration::from_secs(2);
 /// Time for which the rest of what a caller sends is read, so that it gets its answer.
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -253,8 +253,11 @@
     /// How many wait for a socket.
     waiting: Cell<usize>,
     wear: RefCell<Wear>,
-    /// Places that are another process's for now, and the task that takes them as they get free.
-    left_to_others: RefCell<Option<AbortHandle>>,
+    /// Sockets that clients leave to this side, the part of them that is not another process's, and the places
+    /// that are given up so as to keep to that.
+    left: Cell<usize>,
+    part: Cell<f64>,
+    given_up: RefCell<Vec<OwnedSemaphorePermit>>,
     attempts: RefCell<HashMap<Key, AbortHandle>>,
 }
 
@@ -275,7 +278,9 @@
         sockets,
         waiting: Cell::new(0),
         wear: RefCell::default(),
-        left_to_others: RefCell::default(),
+        left: Cell::new(usize::MAX),
+        part: Cell::new(1.0),
+        given_up: RefCell::default(),
         attempts: RefCell::default(),
     });
     let mut sweep = tokio::time::interval(Duration::from_secs(1));
@@ -292,6 +297,7 @@
 
 impl Side {
     fn carry_out(self: &Rc<Self>, order: Order<Query>) {
+        self.settle();
         match order {
             Order::Send(send) => {
                 let (side, key) = (self.clone(), send.key);
@@ -327,7 +333,14 @@
                 let mut options = self.options.borrow_mut();
                 (options.connect_timeout, options.conn_idle) = (connect, idle.mul_f64(IDLE_SHARE));
             }
-            Order::Share(part) => self.share(part),
+            Order::Sockets(left) => {
+                self.left.set(left);
+                self.settle();
+            }
+            Order::Share(part) => {
+                self.part.set(part);
+                self.settle();
+            }
             Order::Forget(server) => {
                 self.addresses.borrow_mut().remove(&server);
                 self.idle.borrow_mut().remove(&server);
@@ -335,24 +348,27 @@
         }
     }
 
-    /// Keeps to a part of the sockets. Idle connections go first; what is in use goes as it gets free.
-    fn share(self: &Rc<Self>, part: f64) {
-        if let Some(task) = self.left_to_others.take() {
-            task.abort();
-        }
-        let others = ((1.0 - part) * self.options.borrow().sockets as f64) as usize;
-        if others == 0 {
-            return;
-        }
-        let side = self.clone();
-        let task = tokio::task::spawn_local(async move {
-            let mut places = Vec::new();
-            while places.len() < others {
-                places.push(side.place().await);
+    /// Gives up places until as many are left as this side may use. Idle connections go first; what is in use goes
+    /// as it gets free.
+    fn settle(&self) {
+        let most = self.options.borrow().sockets;
+        let left = (self.left.get().min(most) as f64 * self.part.get()) as usize;
+        let mut given_up = self.given_up.borrow_mut();
+        given_up.truncate(most - left);
+        while given_up.len() < most - left {
+            match self.sockets.clone().try_acquire_owned() {
+                Ok(place) => given_up.push(place),
+                Err(_) if self.close_idle() => {}
+                Err(_) => return,
             }
-            std::future::pending::<()>().await;
-        });
-        self.left_to_others.replace(Some(task.abort_handle()));
+        }
+    }
+
+    /// Closes the connection that has stood idle longest, if there is one.
+    fn close_idle(&self) -> bool {
+        let mut idle = self.idle.borrow_mut();
+        let longest = idle.values_mut().filter(|c| !c.is_empty()).min_by_key(|c| c[0].idle_since);
+        longest.map(|connections| connections.remove(0)).is_some()
     }
 
     /// Closes what has stood idle for too long: a query must not meet the server's own closing.
@@ -508,11 +524,7 @@
         if let Ok(place) = self.sockets.clone().try_acquire_owned() {
             return place;
         }
-        if let Some(idle) =
-            self.idle.borrow_mut().values_mut().filter(|c| !c.is_empty()).min_by_key(|c| c[0].idle_since)
-        {
-            idle.remove(0);
-        }
+        self.close_idle();
         let _waits = Waits::new(&self.waiting);
         self.sockets.clone().acquire_owned().await.expect("it is never closed")
     }
--- a/tests/network.rs
+++ b/tests/network.rs
@@ -463,6 +463,21 @@
     assert_eq!(kinds(&last.ask(&read(1000))), "TDCZ");
 }
 
+/// In a crowd silent clients go by themselves after a time, and one that is slow in what it says is not among them.
+#[test]
+fn a_crowd_of_silent_clients_goes_and_a_slow_one_is_served() {
+    let server = DataServer::start(true, ok);
+    let proxy = start_within(192, 64, &[server.listed("a", "read-write", "Ready")]);
+    let mut slow = Client::raw(&proxy);
+    let said = [startup(), query(&write(3000))].concat();
+    slow.send(&said[..9]);
+    // More than are left to clients where they come one by one: the data servers don't need these sockets.
+    let mut silent: Vec<_> = (0..26).map(|_| Client::raw(&proxy)).collect();
+    assert_eq!(silent[0].0.read(&mut [0]).expect("a clean end"), 0);
+    slow.send(&said[9..]);
+    assert_eq!(kinds(&[slow.answer(), slow.answer()].concat()), "RZTDCZ");
+}
+
 /// Little memory must not mean few clients: what they may hold is bounded by the buffers, not by their number.
 #[test]
 fn small_limits_leave_room_for_many_clients() {
