--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -484,10 +484,7 @@
         };
         // A probe that takes longer than a connection may has shown what it was to show.
         match timeout_at(self.connected_by(), ask).await {
-            Ok(Ok(reply)) => {
-                log::debug!("PROBE {:?} {:?}", reply.position_ms, reply.primary);
-                (reply.served(), reply.probe_report(self.exchange.clock()))
-            }
+            Ok(Ok(reply)) => (reply.served(), reply.probe_report(self.exchange.clock())),
             // What can't be read came from a server that is up.
             Ok(Err(e)) => (e.kind() == io::ErrorKind::InvalidData, None),
             Err(_) => (false, None),
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -146,6 +146,18 @@
     assert!(used, "it may serve again");
 }
 
+/// Guards against a replica that serves next to nothing for long, because nobody asks where it stands.
+#[test]
+fn a_read_that_any_replica_may_serve_asks_one_that_has_not_told_where_it_stands() {
+    for back in [2, 3] {
+        let mut b = Bench::new(settings());
+        b.hear_all(ms(10));
+        b.step(vec![Event::Offline(ServerId(back))]);
+        b.step(vec![Event::Online(ServerId(back))]);
+        assert_eq!(targets(&b.call(ANY)), [back]);
+    }
+}
+
 #[test]
 fn where_only_draining_binds_a_server_that_is_gone_from_the_list_still_serves() {
     let mut s = settings();
