--- a/src/decide.rs
+++ b/src/decide.rs
@@ -824,9 +824,9 @@
             let second = (first + 1 + other % (open.len() - 1).max(1)) % open.len();
             let (a, b) = (open[first], open[second]);
             chosen = Some(if busy(b.1) < busy(a.1) { **b } else { **a });
-            // One that has not told where it stands since its start gets it first: until it has, it serves few.
+            // One that has not told where it stands since its start comes first: until then it serves few.
             let unheard = |s: &Server| s.in_flight < 1.0 && (s.position == 0.0 || s.lag.is_infinite());
-            chosen = open.iter().find(|s| !guess && unheard(&s.1)).map(|s| ***s).or(chosen);
+            chosen = open.iter().find(|s| !guess && unheard(s.1)).map(|s| ***s).or(chosen);
         }
         if chosen.is_none() && fresh.is_empty() && guess {
             let ahead = up.iter().filter(|s| replica(s) && s.1.has_room(now) && now - s.1.heard > 1.0);
