--- a/src/main.rs
+++ b/src/main.rs
@@ -202,11 +202,11 @@
     let (moved, service) = watch::channel(config.discovery);
     spawn_local(discovery::run(exchange.clone(), asks, service, lister.clone()));
     exchange.step();
+    let followed = control.clone();
+    spawn_local(async move { followed.follow().await });
     if let Some(listener) = ops {
         let at = listener.local_addr().map_err(|e| format!("can't listen: {e}"))?;
         log::info!("calls are answered at {at}");
-        let followed = control.clone();
-        spawn_local(async move { followed.follow().await });
         spawn_local(ops::run(listener, control.clone(), pool.clone()));
     }
     let driver = exchange.clone();
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -181,6 +181,10 @@
                     }
                 }
                 Ok(Some((Parcel::Door(_), _))) => {}
+                // Its descriptor is lost where there is none left for it, but others may follow.
+                Err(e) if e.kind() == io::ErrorKind::InvalidData => {
+                    log::warn!("a client could not be taken over: {e}");
+                }
                 Ok(None) | Err(_) => break,
             }
         }
--- a/src/net/ops.rs
+++ b/src/net/ops.rs
@@ -146,8 +146,8 @@
         if changed.is_none() || changed == self.read.get() {
             return Ok(Vec::new());
         }
+        self.read.set(changed); // what can't be read is not looked at again until it changes
         let kept = self.kept()?.unwrap_or_default();
-        self.read.set(changed);
         let before = self.out.replace(kept.clone());
         let news = kept.symmetric_difference(&before);
         Ok(news.map(|uid| (uid.clone(), kept.contains(uid))).collect())
