--- a/tests/network.rs
+++ b/tests/network.rs
@@ -76,10 +76,11 @@
 /// Starts the program with settings and a list of servers, in a folder that outlasts it or in none.
 fn launch(config: &str, targets: &[String], folder: Option<&Path>) -> Proxy {
     let discovery = Discovery::start(listing(1, true, targets));
-    let known = format!(r#""ops": "127.0.0.1:0", "known": {}, "settings""#, listing(1, true, targets));
+    let known = format!(r#""known": {}, "settings""#, listing(1, true, targets));
     let config = config
         .replace("127.0.0.1:5433", "127.0.0.1:0")
         .replace("127.0.0.1:8500", &discovery.address.to_string())
+        .replace("127.0.0.1:9800", "127.0.0.1:0")
         .replace(r#""settings""#, &known);
     let (mut command, config) = command(&config);
     folder.map(|folder| command.env("TMPDIR", folder));
