--- a/src/decide.rs
+++ b/src/decide.rs
@@ -60,7 +60,7 @@
 const ASK_FIRST: f64 = 0.5; // s until the list is asked for again after a failure; doubles
 const TRIAL_FIRST: f64 = 0.3; // s until a server that is down gets a trial
 const TRIAL_MOST: f64 = 2.0; // s between later trials
-const PLACED_WITHIN: f64 = 0.49; // of a write's time, after which it is given up where there is no primary
+const PLACED_WITHIN: f64 = 0.49; // of a request's time, after which it is given up where no server takes it
 const RETRY_SHARE: f64 = 0.2; // further attempts for each request, after which only the first is made
 const RETRY_BURST: f64 = 20.0; // saved up at most
 const COLD_PACE: f64 = 2.0; // answers a second of a warm server, over all gateways, before any was seen
@@ -702,16 +702,19 @@
         self.now + 0.8 * time >= until || self.unplaced(p)
     }
 
-    /// A write that has reached no server for near half its time, in a group without a primary. Guards
-    /// against keeping its client from asking again when there is one: an outage outlasts most waits. Harms
-    /// writes whose client never asks again.
+    /// A write that has reached no server for near half its time, in a group without a primary, or a read where
+    /// reads have just waited in vain. Guards against keeping its client from asking again: an outage outlasts
+    /// most waits, and among such reads the youngest go first. Harms those whose client never asks again.
     fn unplaced(&self, p: &Pending) -> bool {
         let write = self.cfg.classes[p.request.class.0].need == Need::Write;
         let primary = self.groups.get(&p.request.group).and_then(|g| g.primary);
         let up =
             primary.and_then(|i| self.servers.get(&i)).is_some_and(|s| s.down.is_none() && !s.out_by_hand);
         let reached = p.ran.is_some() || !p.turned_away.is_empty();
-        write && !up && !reached && self.now >= p.arrived + PLACED_WITHIN * (p.deadline - p.arrived)
+        let shed = self.groups.get(&p.request.group).map_or(0.0, |g| g.shed_at);
+        let pressed = !write && p.attempts == 0 && self.now - shed < PRESSED;
+        let given_up = pressed || (write && !up && !reached);
+        given_up && self.now >= p.arrived + PLACED_WITHIN * (p.deadline - p.arrived)
     }
 
     fn may_send(&self, p: &Pending) -> bool {
--- a/tests/module.rs
+++ b/tests/module.rs
@@ -158,6 +158,19 @@
     }
 }
 
+/// Guards against holding reads past half their time where the youngest go first: they would hardly be sent.
+#[test]
+fn a_read_that_waits_where_others_waited_in_vain_is_refused_by_half_its_time() {
+    let mut b = Bench::new(settings());
+    b.hear_all(ms(10));
+    while (0..5).any(|_| !targets(&b.call(LOOK)).is_empty()) {}
+    b.pass(ms(600)); // all that wait by now have waited in vain
+    let short = Request { time_left: ms(600), ..b.request(LOOK) };
+    assert_eq!(refusals(&b.step(vec![Event::Request(short)])), 0);
+    assert_eq!(refusals(&b.pass(ms(250))), 0);
+    assert_eq!(refusals(&b.pass(ms(50))), 1);
+}
+
 #[test]
 fn where_only_draining_binds_a_server_that_is_gone_from_the_list_still_serves() {
     let mut s = settings();
