--- a/src/decide.rs
+++ b/src/decide.rs
@@ -702,9 +702,9 @@
         self.now + 0.8 * time >= until || self.unplaced(p)
     }
 
-    /// A write that has reached no server for near half its time, in a group without a primary, or a read where
-    /// reads have just waited in vain. Guards against keeping its client from asking again: an outage outlasts
-    /// most waits, and among such reads the youngest go first. Harms those whose client never asks again.
+    /// A write that has reached no server for near half its time, in a group without a primary, or a read
+    /// where reads have just waited in vain. Guards against keeping its client from asking again: an outage
+    /// outlasts most waits, and of such reads the youngest go ahead. Harms clients that never ask again.
     fn unplaced(&self, p: &Pending) -> bool {
         let write = self.cfg.classes[p.request.class.0].need == Need::Write;
         let primary = self.groups.get(&p.request.group).and_then(|g| g.primary);
