Make a workspace of core, program and peers, and undo two circles of imports

Need: what decides is to be provably free of I/O and clocks, and stand-ins are to serve tests, examples and trials alike. The list's words are a file of their own (settings and discovery no longer name each other), and so is the wire to a successor (clients and handover).

--- a/src/decide.rs
+++ b/core/src/decide.rs
@@ -1,4 +1,4 @@
-//! Every decision of the splitter. Its types, events and actions are in `src/interface.rs`.
+//! Every decision of the splitter. Its types, events and actions are in `core/src/interface.rs`.
 //!
 //! The ordinary path: each server has a window of in-flight attempts, set once a period from a parabola
 //! fitted to throughput over concurrency; what exceeds the windows waits in the queue, what exceeds the queue
--- a/src/estimate.rs
+++ b/core/src/estimate.rs
@@ -1,7 +1,8 @@
 //! Arithmetic of estimates: a fitted parabola and a fading mean. What they mean is in `decide.rs`.
 
 /// Least squares with fading memory on a + b m + c m².
-pub(crate) struct Fit {
+#[derive(Debug)]
+pub struct Fit {
     theta: [f64; 3],
     cov: [[f64; 3]; 3],
 }
@@ -17,7 +18,7 @@
 
 impl Fit {
     /// Learns that `m` in flight gave `throughput`; `forget` is what is left of the memory after each lesson.
-    pub(crate) fn learn(&mut self, m: f64, throughput: f64, forget: f64) {
+    pub fn learn(&mut self, m: f64, throughput: f64, forget: f64) {
         let x = [1.0, m / 10.0, m * m / 100.0]; // scaled, so that the three columns are of like size
         let px: [f64; 3] = std::array::from_fn(|i| (0..3).map(|j| self.cov[i][j] * x[j]).sum());
         let denominator = forget + (0..3).map(|i| x[i] * px[i]).sum::<f64>();
@@ -32,14 +33,15 @@
     }
 
     /// The vertex, where the parabola has a peak.
-    pub(crate) fn vertex(&self) -> Option<f64> {
+    pub fn vertex(&self) -> Option<f64> {
         let [_, b, c] = self.theta;
         (c < -1e-9 && b > 0.0).then(|| 10.0 * -b / (2.0 * c))
     }
 }
 
 /// How a [`Gauge`] weighs what it is told.
-pub(crate) struct Memory {
+#[derive(Debug)]
+pub struct Memory {
     /// Values that it averages over at most.
     pub most: f64,
     /// Time in s in which its evidence loses most of its weight.
@@ -49,8 +51,8 @@
 }
 
 /// A mean over recent values, and how many of them it rests on.
-#[derive(Default, Clone)]
-pub(crate) struct Gauge {
+#[derive(Debug, Default, Clone)]
+pub struct Gauge {
     mean: f64,
     weight: f64,
     at: f64,
@@ -61,14 +63,15 @@
         self.weight * (-(now - self.at).max(0.0) / memory.fade).exp()
     }
 
-    pub(crate) fn learn(&mut self, now: f64, value: f64, memory: &Memory) {
+    /// Learns a value, at a time in seconds.
+    pub fn learn(&mut self, now: f64, value: f64, memory: &Memory) {
         self.weight = (self.weight(now, memory) + 1.0).min(memory.most);
         self.mean += (value - self.mean) / self.weight;
         self.at = now;
     }
 
     /// The mean, drawn to `usual` where it has seen little of late.
-    pub(crate) fn read(&self, now: f64, usual: f64, memory: &Memory) -> f64 {
+    pub fn read(&self, now: f64, usual: f64, memory: &Memory) -> f64 {
         let weight = self.weight(now, memory);
         (weight * self.mean + memory.prior * usual) / (weight + memory.prior)
     }
--- a/tests/common/mod.rs
+++ b/core/tests/common/mod.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use pipittack::interface::*;
-use pipittack::Gateway;
+use pipittack_core::interface::*;
+use pipittack_core::Gateway;
 
 pub const LOOK: ClassId = ClassId(0);
 pub const OWN: ClassId = ClassId(1);
--- a/tests/module.rs
+++ b/core/tests/module.rs
@@ -3,8 +3,8 @@
 mod common;
 
 use common::*;
-use pipittack::interface::*;
-use pipittack::Gateway;
+use pipittack_core::interface::*;
+use pipittack_core::Gateway;
 
 #[test]
 fn reads_go_to_fresh_replicas_and_writes_to_the_primary() {
--- a/tests/rules.rs
+++ b/core/tests/rules.rs
@@ -5,7 +5,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use common::*;
-use pipittack::interface::*;
+use pipittack_core::interface::*;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
--- a/examples/toy/main.rs
+++ b/examples/toy/main.rs
@@ -3,12 +3,9 @@
 //! `cargo run --example toy` writes a configuration to the path given as its argument and then serves until
 //! it is stopped; `pipittack serve --config PATH` in another terminal is the proxy.
 
-#[allow(dead_code)] // the tests use the rest
-mod peers;
-
 use std::time::Duration;
 
-use peers::{listing, DataServer, Discovery, Say};
+use pipittack_peers::script::{listing, DataServer, Discovery, Say};
 
 fn main() -> std::io::Result<()> {
     let path = std::env::args().nth(1).unwrap_or_else(|| "toy.json".into());
--- /dev/null
+++ b/peers/src/lib.rs
@@ -0,0 +1,5 @@
+//! What pipittack meets, in miniature and on loopback: stand-ins for data servers and discovery, used by tests,
+//! examples and trials alike. Plain threads and blocking sockets; the program never depends on any of it.
+#![forbid(unsafe_code)]
+
+pub mod script;
--- a/examples/toy/peers.rs
+++ b/peers/src/script.rs
@@ -27,7 +27,9 @@
 
 /// A data server, and the statements that reached it.
 pub struct DataServer {
+    /// Where it listens.
     pub address: SocketAddr,
+    /// The statements that reached it, in order.
     pub heard: Arc<Mutex<Vec<String>>>,
     /// A word for each connection that has ended.
     pub ended: mpsc::Receiver<()>,
@@ -157,7 +159,9 @@
 
 /// A discovery service. What is sent to `changes` goes out on the watch that is open; an empty text ends it.
 pub struct Discovery {
+    /// Where it listens.
     pub address: SocketAddr,
+    /// Changes to go out on the watch.
     pub changes: mpsc::Sender<String>,
     /// The paths that were asked for, in order.
     pub asked: mpsc::Receiver<String>,
@@ -169,6 +173,7 @@
 }
 
 impl Discovery {
+    /// One whose watch begins with this list.
     pub fn start(list: String) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("bound");
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,19 +1,15 @@
-//! A read/write splitting proxy for replicated database clusters, and the decision module inside it.
+//! A read/write splitting proxy for replicated database clusters.
 //!
-//! The module does no I/O: a gateway feeds what it observed to [`Gateway::step`] and carries out the actions
-//! that come back. The types of that exchange are in [`interface`], every decision in [`decide`]. The proxy
-//! around it is in [`net`].
+//! Every decision is made in the package `pipittack-core`, whose module is named here again. The proxy around it
+//! is in [`net`].
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod decide;
-mod estimate;
-pub mod interface;
+pub mod listing;
 pub mod net;
 pub mod settings;
-mod state;
 
-pub use decide::Gateway;
+pub use pipittack_core::{estimate, interface, Gateway};
 
 /// The README's example, compiled as a test.
 #[cfg(doctest)]
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,6 +22,7 @@
 use pipittack::net::exchange::{Clock, Exchange, Order};
 use pipittack::net::handover::{self, Shares};
 use pipittack::net::ops::{self, Bans, Control};
+use pipittack::net::parcel;
 use pipittack::net::servers::{self, PgExchange};
 use pipittack::settings::{Config, Env, Malformed, SOCKETS_LEAST};
 use tokio::signal::unix::{signal, SignalKind};
@@ -152,7 +153,7 @@
     };
     let path = kept("sock");
     let heritage = match &path {
-        Some(path) => handover::inherit(path).await,
+        Some(path) => parcel::inherit(path).await,
         None => None,
     };
     let (listener, heritage) = match heritage {
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -20,7 +20,7 @@
 
 use super::buffers::{self, write_all, Chain, Pool, Room};
 use super::exchange::{Call, Final, Order};
-use super::handover::Successor;
+use super::parcel::Successor;
 use super::pg::{self, Severity, Startup};
 use super::servers::{Answer, PgExchange, Query};
 use crate::interface::*;
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -10,7 +10,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use serde::Deserialize;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
@@ -26,6 +25,7 @@
 use super::exchange::{Ask, Clock};
 use super::servers::PgExchange;
 use crate::interface::*;
+use crate::listing::Listing;
 use crate::settings::Names;
 
 /// A line comes every 2 s; without one for so long, the service or the way there is gone. What the service
@@ -38,39 +38,6 @@
 /// The longest head or line that is read.
 const LINE_MOST: usize = 4 << 20;
 
-/// A list, or changes to it, as the service words them.
-#[derive(Debug, Clone, Deserialize)]
-pub struct Listing {
-    /// Version of the list.
-    pub rev: u64,
-    /// It is the whole list.
-    #[serde(default)]
-    pub all: bool,
-    /// The entries.
-    #[serde(default)]
-    pub targets: Vec<Target>,
-}
-
-/// An entry of the list. What a reader can do without may be absent.
-#[derive(Debug, Clone, Deserialize)]
-pub struct Target {
-    /// The server's name, the same at every proxy and over restarts.
-    pub uid: String,
-    /// Where this proxy reaches it.
-    pub endpoint: SocketAddr,
-    #[serde(default)]
-    az: String,
-    #[serde(default)]
-    model: String,
-    #[serde(default)]
-    pod_group: u64,
-    state: String,
-    capacity_hint: Option<f64>,
-    #[serde(default)]
-    boot_ms: f64,
-    mode: Option<String>,
-}
-
 /// Turns listings into views, and knows the ids of servers.
 pub struct Lister {
     names: Names,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,9 +1,9 @@
 //! The proxy around the decision module: real sockets, one thread.
 //!
 //! Clients ([`clients`]) and data servers ([`servers`]) meet only in the [`exchange`], which asks the
-//! decision module what to do; [`discovery`] keeps the server list, [`ops`] answers the operators, and [`handover`] replaces
-//! the process. Nothing in here decides where a request
-//! goes, whether it goes again, or when it is refused.
+//! decision module what to do; [`discovery`] keeps the server list, [`ops`] answers the operators, and [`handover`]
+//! replaces the process, by means of [`parcel`]. Nothing in here decides where a request goes, whether it goes
+//! again, or when it is refused.
 
 pub mod buffers;
 pub mod clients;
@@ -11,5 +11,6 @@
 pub mod exchange;
 pub mod handover;
 pub mod ops;
+pub mod parcel;
 pub mod pg;
 pub mod servers;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -311,7 +311,7 @@
     pub limits: Bounds,
     /// The server list as an earlier run had it, in discovery's form.
     #[serde(default)]
-    pub known: Option<crate::net::discovery::Listing>,
+    pub known: Option<crate::listing::Listing>,
     settings: Value,
 }
 
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -1,15 +1,14 @@
 //! The exchange's books: what it guarantees to the module and to clients, whatever the sides report.
 
+#[path = "../core/tests/common/mod.rs"]
 mod common;
-#[allow(dead_code)] // other tests use the rest
-#[path = "../examples/toy/peers.rs"]
-mod peers;
 
 use common::*;
 use pipittack::interface::*;
 use pipittack::net::buffers::Pool;
 use pipittack::net::exchange::{Call, Clock, Ending, Exchange, Final, Key, Order, Parts, Send};
 use pipittack::net::servers::{self, Options, Query, Wear};
+use pipittack_peers::script;
 use tokio::sync::mpsc::UnboundedReceiver;
 
 type Books = Exchange<&'static str, &'static str>;
@@ -158,7 +157,7 @@
 #[test]
 fn an_attempt_waits_for_a_socket() {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-    let server = peers::DataServer::start(true, |_| peers::Say::Row(b"v".to_vec()));
+    let server = script::DataServer::start(true, |_| script::Say::Row(b"v".to_vec()));
     let clock = Clock::start();
     let (exchange, orders, _asks) = Exchange::new(settings(), 7, clock).expect("valid settings");
     let options = Options {
@@ -176,7 +175,7 @@
         let answers: Vec<_> = (0..8)
             .map(|_| {
                 let mut message = pool.chain();
-                message.extend(&peers::query("SELECT d=0"));
+                message.extend(&script::query("SELECT d=0"));
                 exchange.open(call(ONCE), Query { message, wait_at: 14..15, room: None }).1
             })
             .collect();
--- a/tests/network.rs
+++ b/tests/network.rs
@@ -1,16 +1,12 @@
 //! One test on real sockets for each rule: the program itself between scripted peers, all on loopback.
 
-#[allow(dead_code)] // the toy uses the rest
-#[path = "../examples/toy/peers.rs"]
-mod peers;
-
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
-use peers::*;
+use pipittack_peers::script::*;
 use rstest::rstest;
 
 const PATIENCE: Duration = Duration::from_secs(20);
