--- a/core/src/failover/forecast.rs
+++ b/core/src/failover/forecast.rs
@@ -47,6 +47,11 @@
 }
 
 impl Forecast {
+    /// One that knows nothing, not even a guess.
+    pub fn empty() -> Self {
+        Self { planned: Vec::new(), unplanned: Vec::new() }
+    }
+
     /// Learns how long a change took, in s.
     pub fn learn(&mut self, change: Change, took: f64) {
         if !took.is_finite() || took < 0.0 {
--- a/core/src/failover/hold.rs
+++ b/core/src/failover/hold.rs
@@ -95,11 +95,6 @@
         }
         fits
     }
-
-    /// How many are held.
-    pub fn count(&self) -> usize {
-        self.all.0
-    }
 }
 
 #[cfg(test)]
@@ -161,7 +156,6 @@
         assert!(!holding.admits(GroupId(2), 501, &tuning), "half of the bytes are a set's");
         assert!(holding.admits(GroupId(2), 500, &tuning));
         assert!(!holding.admits(GroupId(3), 451, &tuning) && holding.admits(GroupId(3), 450, &tuning));
-        assert_eq!(holding.count(), 7);
         assert!(!holding.admits(GroupId(4), u64::MAX, &tuning), "a claim of any size is only counted");
     }
 }
--- a/core/src/failover/primacy.rs
+++ b/core/src/failover/primacy.rs
@@ -89,11 +89,6 @@
         !matches!(self.words.get(&server), Some(Word::Deposed(when)) if now - when < KNOWS_AFTER)
     }
 
-    /// Whether a server has said that it is no primary, since it last was one.
-    pub fn has_denied(&self, server: ServerId) -> bool {
-        matches!(self.words.get(&server), Some(Word::Denied(_)))
-    }
-
     /// A server says that it is the primary. `at` is when that was heard or, for a report, when it was true; `sent`
     /// when the attempt went out whose answer says so, where that is known.
     pub fn claims(&mut self, server: ServerId, at: f64, sent: Option<f64>) -> Ruling {
@@ -285,7 +280,7 @@
         assert!(!primacy.denies(B, 19.0));
         assert_eq!(primacy.primary(), Some(B));
         assert!(primacy.denies(B, 21.0));
-        assert_eq!((primacy.primary(), primacy.has_denied(B)), (None, true));
+        assert_eq!(primacy.primary(), None);
     }
 
     #[test]
--- a/core/src/failover/set.rs
+++ b/core/src/failover/set.rs
@@ -48,9 +48,14 @@
     pub change: Option<(Change, f64)>,
 }
 
+/// Changes of its own from which on a set's forecast goes by these alone.
+const OWN_LEAST: usize = 4;
+
 /// A set.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct Set {
+    /// How long its own changes took.
+    own: Forecast,
     primacy: Primacy,
     phase: Phase,
     release: Release,
@@ -73,6 +78,27 @@
     next_ask: f64,
 }
 
+impl Default for Set {
+    fn default() -> Self {
+        Self {
+            own: Forecast::empty(),
+            primacy: Primacy::default(),
+            phase: Phase::default(),
+            release: Release::default(),
+            pulse: Pulse::default(),
+            before: None,
+            seen: Phase::default().name(),
+            draining: None,
+            overtaken: 0.0,
+            next_canary: 0.0,
+            next_test: 0.0,
+            test_pause: TEST_FIRST,
+            cursor: None,
+            next_ask: 0.0,
+        }
+    }
+}
+
 impl Set {
     /// The primary, if one is known: it may be suspected or down.
     pub fn primary(&self) -> Option<ServerId> {
@@ -104,8 +130,9 @@
         let before = self.phase;
         self.phase = before.after(input);
         if before.takes_writes() && !self.phase.takes_writes() {
+            let began = self.phase.began().unwrap_or(0.0) + TEST_FIRST;
             (self.next_ask, self.next_canary, self.next_test, self.test_pause) =
-                (0.0, 0.0, f64::INFINITY, TEST_FIRST);
+                (0.0, 0.0, began, TEST_FIRST);
         }
     }
 
@@ -158,6 +185,7 @@
     fn accepted(&mut self, old: Option<Claim>, now: f64, forecast: &mut Forecast) {
         if let (Some(change), Some(began)) = (self.phase.change(), self.phase.began()) {
             forecast.learn(change, now - began);
+            self.own.learn(change, now - began);
         }
         if let Some(old) = old {
             self.before = Some((old.server, old.lost.is_some()));
@@ -288,6 +316,10 @@
     pub fn took_place(&mut self, server: ServerId, write: bool, now: f64) {
         if self.primary() == Some(server) {
             self.next_canary = now + CANARY_EVERY;
+            if !write {
+                // A read shows as much, and has no fate to lose.
+                self.next_test = self.next_test.max(now + TEST_FIRST);
+            }
             self.release.took_place(write);
         }
     }
@@ -316,9 +348,6 @@
         if !self.may_ask(now) {
             return None;
         }
-        if self.next_test.is_infinite() {
-            self.next_test = now;
-        }
         let primary = self.primary();
         if let Some(primary) = primary.filter(|p| members.contains(p) && now >= self.next_test) {
             (self.next_test, self.test_pause) = (now + self.test_pause, self.test_pause * 2.0);
@@ -327,7 +356,8 @@
         let from = self.cursor.unwrap_or_default();
         let may = |m: &&ServerId| **m >= from && primary != Some(**m) && self.primacy.may_be_asked(**m, now);
         let member = members.iter().find(may).copied();
-        let shortest = self.phase.change().map_or(f64::INFINITY, |change| forecast.shortest(change));
+        let shortest =
+            self.phase.change().map_or(f64::INFINITY, |change| self.known(change, forecast).shortest(change));
         let near = self.phase.began().is_some_and(|began| now - began >= NEAR * shortest);
         let pause = if near { ASK_PAUSE.1 } else { ASK_PAUSE.0 };
         self.cursor = member.map(|member| ServerId(member.0.saturating_add(1)));
@@ -335,14 +365,24 @@
         member
     }
 
-    /// When the set takes writes again, if it takes none now and that is no mere pause.
-    pub fn outlook<'f>(&self, now: f64, forecast: &'f Forecast) -> Option<Outlook<'f>> {
+    /// Durations of this set's changes where it has had some, else those of all sets together.
+    fn known<'f>(&'f self, change: Change, all: &'f Forecast) -> &'f Forecast {
+        if self.own.sample(change).len() >= OWN_LEAST {
+            &self.own
+        } else {
+            all
+        }
+    }
+
+    /// When the set takes writes again, if it takes none now and that is no mere pause. `forecast` is that of all sets.
+    pub fn outlook<'f>(&'f self, now: f64, forecast: &'f Forecast) -> Option<Outlook<'f>> {
         if self.takes_writes().is_some() || matches!(self.phase, Phase::Suspected { .. }) {
             return None;
         }
         // Before any change was seen, nobody knows a primary: as if one had just been lost.
-        let (change, began) = (self.phase.change(), self.phase.began());
-        Some(forecast.outlook(change.unwrap_or(Change::Unplanned), began.map_or(0.0, |began| now - began)))
+        let change = self.phase.change().unwrap_or(Change::Unplanned);
+        let elapsed = self.phase.began().map_or(0.0, |began| now - began);
+        Some(self.known(change, forecast).outlook(change, elapsed))
     }
 
     /// What another process of this proxy must know of a server here.
@@ -476,6 +516,22 @@
         assert!(!set.admits_write(), "one, to see whether it answers");
     }
 
+    #[test]
+    fn a_set_of_its_own_habits_is_forecast_by_these() {
+        let (mut set, mut all) = steady();
+        for n in 0..4 {
+            let at = 100.0 * f64::from(n + 1);
+            let (old, new) = if n % 2 == 0 { (A, B) } else { (B, A) };
+            set.denies(old, at);
+            assert_eq!(set.claims(new, at + 0.1, Some(at + 0.05), at + 0.1, &mut all), Ruling::Accepted);
+            set.ended(new, at + 0.2, true);
+        }
+        all.recall(Change::Planned, &[1.9; 24]);
+        set.denies(A, 600.0);
+        let left = set.outlook(600.0, &all).map(|outlook| outlook.within(0.5));
+        assert!(left.is_some_and(|left| left < 0.2), "{left:?}");
+    }
+
     #[test]
     fn asking_goes_round_the_members_and_pauses() {
         let (mut set, forecast, all) = (Set::default(), Forecast::default(), [A, B]);
@@ -500,6 +556,17 @@
         assert!(late >= 2 * asked.iter().filter(|(at, m)| *m == B && *at < 120).count(), "more near its end");
     }
 
+    #[test]
+    fn no_write_is_risked_where_reads_show_whether_it_answers() {
+        let (mut set, forecast) = steady();
+        set.watch(11.0, &sight(10.0, Some(10.0)));
+        for n in 0..20 {
+            let now = 11.0 + f64::from(n) / 4.0;
+            set.took_place(A, false, now);
+            assert_ne!(set.ask(&[A, B], now, &forecast), Some(A), "{now}");
+        }
+    }
+
     #[test]
     fn one_slow_request_that_others_overtook_is_no_hang() {
         let (mut set, _) = steady();
--- a/peers/src/bin/failover-trial.rs
+++ b/peers/src/bin/failover-trial.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use clap::Parser;
 use pipittack_peers::trial::{play, Kind, Plan, Report};
@@ -30,6 +31,9 @@
     /// Another build, to which the same script is played afterwards, for comparison
     #[arg(long)]
     beside: Option<PathBuf>,
+    /// Milliseconds past a request's wait after which it has got no answer
+    #[arg(long, default_value_t = 100)]
+    slack_ms: u64,
     /// Only one kind of change, such as hang or false_primary
     #[arg(long, value_parser = kind)]
     only: Option<Kind>,
@@ -58,6 +62,7 @@
         sets: cli.sets.clamp(1, cli.rounds.max(1)),
         seed: cli.seed,
         scale: cli.scale,
+        slack: Duration::from_millis(cli.slack_ms),
         only: cli.only,
         tell: cli.verbose,
     };
--- a/peers/src/client.rs
+++ b/peers/src/client.rs
@@ -10,9 +10,6 @@
 
 use crate::script::{query, read_message, startup};
 
-/// Time past its wait after which a request has got no answer.
-pub const SLACK: Duration = Duration::from_millis(100);
-
 /// What a request's final answer promises.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Answer {
@@ -54,8 +51,10 @@
     pub write: bool,
     /// The set.
     pub group: u64,
-    /// How long the client waits.
+    /// How long the client waits, as it says.
     pub wait: Duration,
+    /// Time past that after which a request has got no answer.
+    pub slack: Duration,
 }
 
 /// A connection to the proxy, opened when it is needed.
@@ -70,13 +69,6 @@
         Self { proxy, stream: None }
     }
 
-    /// Goes to another proxy from now on.
-    pub fn turn_to(&mut self, proxy: SocketAddr) {
-        if self.proxy != proxy {
-            (self.proxy, self.stream) = (proxy, None);
-        }
-    }
-
     fn connect(&mut self) -> io::Result<&mut TcpStream> {
         if self.stream.is_none() {
             let mut stream = TcpStream::connect(self.proxy)?;
@@ -91,7 +83,7 @@
 
     /// Asks, and waits for the final answer. `leave` closes the connection after that time instead.
     pub fn ask(&mut self, ask: &Ask<'_>, leave: Option<Duration>) -> Outcome {
-        let Ask { id, class, write, group, wait } = ask;
+        let Ask { id, class, write, group, wait, slack } = ask;
         let d = wait.as_millis();
         let comment = format!("/* id={id},c={class},d={d},cluster={group} */");
         let text = if *write {
@@ -100,7 +92,7 @@
             format!("SELECT body FROM objects WHERE oid = 'k' {comment}")
         };
         let sent = Instant::now();
-        let most = leave.unwrap_or(*wait + SLACK);
+        let most = leave.unwrap_or(*wait + *slack);
         let answer = match self.converse(&text, most) {
             Ok(answer) => answer,
             Err(_) => {
--- a/peers/src/trial.rs
+++ b/peers/src/trial.rs
@@ -110,6 +110,8 @@
     pub seed: u64,
     /// All times are those of the platform times this.
     pub scale: f64,
+    /// Time past a request's wait after which it has got no answer.
+    pub slack: Duration,
     /// Only this kind.
     pub only: Option<Kind>,
     /// Say on standard error how each set stands after each round.
@@ -337,7 +339,8 @@
                 }
                 let id = format!("{}{set}-{number}-{n}", if write { 'w' } else { 'r' });
                 n += 1;
-                let ask = Ask { id: &id, class, write, group: set as u64, wait };
+                let slack = self.plan.slack;
+                let ask = Ask { id: &id, class, write, group: set as u64, wait, slack };
                 let outcome = client.ask(&ask, leave);
                 let answer = outcome.answer.clone();
                 outcomes.push(outcome);
