--- a/core/src/decide.rs
+++ b/core/src/decide.rs
@@ -815,10 +815,10 @@
             return None;
         }
         let may = |m: &(ServerId, &Server)| m.1.has_room(now) && self.permitted(p, m.0, m.1);
-        let members: Vec<_> = self.members(p.request.group).filter(may).map(|m| m.0).collect();
-        let left = p.deadline - now;
-        let set = &mut self.groups.get_mut(&p.request.group)?.set;
-        Some((set.ask(&members, now, &self.forecast)?, left))
+        let (group, left) = (p.request.group, p.deadline - now);
+        let members = self.members(group).filter(may).map(|m| (m.0, m.1.silence(now)));
+        let members: Vec<_> = members.collect();
+        Some((self.groups.get_mut(&group)?.set.ask(&members, now, &self.forecast)?, left))
     }
 
     fn choose_read(&mut self, id: RequestId, actions: &mut Vec<Action>) -> Option<(ServerId, f64)> {
--- a/core/src/failover/set.rs
+++ b/core/src/failover/set.rs
@@ -11,6 +11,8 @@
 
 /// Time in s between two writes that ask members who the primary is, within a round.
 const ASK_NEXT: f64 = 0.01;
+/// A member that has owed an answer for so many s is not asked: what would be asked of it may hang with it.
+const ASK_SILENT: f64 = 0.15;
 /// Pauses in s between rounds of asking: as a rule, and once changes of the kind have been known to end.
 const ASK_PAUSE: (f64, f64) = (0.1, 0.03);
 /// Part of the shortest known change after which its end may be near.
@@ -341,21 +343,26 @@
         lost && now >= self.next_ask
     }
 
-    /// Which of these members a write asks, in id order and round after round; a miss costs nothing. None where it has
-    /// to wait. One that may not know that it was deposed is not asked, for it would take the write; the lost primary
+    /// Which of these members a write asks, in id order and round after round; a miss costs nothing. Each comes with
+    /// the time in s for which it has owed an answer. None where the write has to wait. One that is silent is not
+    /// asked, nor one that may not know that it was deposed, for it would take the write; the lost primary
     /// itself seldom, for the write's fate is at stake there.
-    pub fn ask(&mut self, members: &[ServerId], now: f64, forecast: &Forecast) -> Option<ServerId> {
+    pub fn ask(&mut self, members: &[(ServerId, f64)], now: f64, forecast: &Forecast) -> Option<ServerId> {
         if !self.may_ask(now) {
             return None;
         }
         let primary = self.primary();
-        if let Some(primary) = primary.filter(|p| members.contains(p) && now >= self.next_test) {
+        if let Some(primary) = primary.filter(|p| members.iter().any(|m| m.0 == *p) && now >= self.next_test)
+        {
             (self.next_test, self.test_pause) = (now + self.test_pause, self.test_pause * 2.0);
             return Some(primary);
         }
         let from = self.cursor.unwrap_or_default();
-        let may = |m: &&ServerId| **m >= from && primary != Some(**m) && self.primacy.may_be_asked(**m, now);
-        let member = members.iter().find(may).copied();
+        let may = |(m, silence): &&(ServerId, f64)| {
+            let other = *m >= from && primary != Some(*m);
+            other && *silence < ASK_SILENT && self.primacy.may_be_asked(*m, now)
+        };
+        let member = members.iter().find(may).map(|(m, _)| *m);
         let shortest =
             self.phase.change().map_or(f64::INFINITY, |change| self.known(change, forecast).shortest(change));
         let near = self.phase.began().is_some_and(|began| now - began >= NEAR * shortest);
@@ -534,12 +541,19 @@
 
     #[test]
     fn asking_goes_round_the_members_and_pauses() {
-        let (mut set, forecast, all) = (Set::default(), Forecast::default(), [A, B]);
+        let (mut set, forecast, all) = (Set::default(), Forecast::default(), [(A, 0.0), (B, 0.0)]);
         let mut asked = |now| set.ask(&all, now, &forecast);
         assert_eq!((asked(1.0), asked(1.005), asked(1.02)), (Some(A), None, Some(B)));
         assert_eq!((asked(1.04), asked(1.1), asked(1.2)), (None, None, Some(A)), "a round pauses");
     }
 
+    #[test]
+    fn a_member_that_is_silent_is_not_asked() {
+        let (mut set, forecast) = (Set::default(), Forecast::default());
+        assert_eq!(set.ask(&[(A, 0.2), (B, 0.1)], 1.0, &forecast), Some(B));
+        assert_eq!(set.ask(&[(A, 0.2), (B, 0.2)], 2.0, &forecast), None);
+    }
+
     #[test]
     fn a_lost_primary_is_tested_by_a_write_seldom_and_others_are_asked_meanwhile() {
         let (mut set, forecast) = steady();
@@ -547,7 +561,9 @@
         let mut asked: Vec<(i64, ServerId)> = Vec::new();
         for n in 0..400 {
             let now = 11.0 + f64::from(n) / 100.0;
-            asked.extend(set.ask(&[A, B], now, &forecast).map(|m| ((now * 10.0).round() as i64, m)));
+            asked.extend(
+                set.ask(&[(A, 9.0), (B, 0.0)], now, &forecast).map(|m| ((now * 10.0).round() as i64, m)),
+            );
         }
         let tests: Vec<_> = asked.iter().filter(|(_, m)| *m == A).map(|(at, _)| *at).collect();
         let gaps: Vec<_> = tests.windows(2).map(|pair| pair[1] - pair[0]).collect();
@@ -563,7 +579,7 @@
         for n in 0..20 {
             let now = 11.0 + f64::from(n) / 4.0;
             set.took_place(A, false, now);
-            assert_ne!(set.ask(&[A, B], now, &forecast), Some(A), "{now}");
+            assert_ne!(set.ask(&[(A, 9.0), (B, 0.0)], now, &forecast), Some(A), "{now}");
         }
     }
 
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -228,6 +228,11 @@
         self.barred || self.out_by_hand
     }
 
+    /// For how long it has owed an answer without a word, in s.
+    pub fn silence(&self, now: f64) -> f64 {
+        (now - self.oldest.max(self.heard)).max(0.0)
+    }
+
     /// Frees places, and forgets which attempt is the oldest, which is to be found anew.
     pub fn refresh(&mut self, now: f64) {
         self.oldest = f64::INFINITY;
