--- a/core/src/failover/mod.rs
+++ b/core/src/failover/mod.rs
@@ -48,7 +48,7 @@
             hold_count: 2048,
             hold_bytes: 32 << 20,
             hold_share: 0.5,
-            patience: 1.25,
+            patience: 1.0,
             refuse_under: 0.002,
             hold_over: 0.6,
         }
--- a/deploy/operators.lisp
+++ b/deploy/operators.lisp
@@ -4,6 +4,6 @@
   (hold-count 2048)       ; writes held at the most, over all sets
   (hold-bytes 33554432)   ; bytes of their statements
   (hold-share 0.5)        ; share of both for one set
-  (patience 1.25)         ; usual answer times of silence, beside its spread, after which a primary's writes are held
+  (patience 1)            ; usual answer times of silence, beside its spread, after which a primary's writes are held
   (refuse-under 0.002)    ; chance of a primary in time, under which a write is refused as soon as it comes
   (hold-over 0.6))        ; chance of one, over which a write is held past half of its time
