Let a silent primary's answer count as a word also where it tells no role

Cause: found on rereading: a held set was released by an answer that names a role, and a large value's answer names none until its end. Change: any answer since the silence began lifts the suspicion, and finds a lost primary again. Result: a test that failed without it; the core's tests pass.

--- a/core/src/failover/primacy.rs
+++ b/core/src/failover/primacy.rs
@@ -179,6 +179,12 @@
         }
     }
 
+    /// The primary was heard at this time; true if it was lost until then.
+    pub fn find(&mut self, heard: f64) -> bool {
+        let lost = self.claim.as_mut().and_then(|claim| claim.lost.take_if(|lost| heard > *lost));
+        lost.is_some()
+    }
+
     /// A server drains, is out by hand or gone: it is the primary no longer. True if it was until now.
     pub fn withdraw(&mut self, server: ServerId) -> bool {
         let was = self.primary() == Some(server);
--- a/core/src/failover/set.rs
+++ b/core/src/failover/set.rs
@@ -150,21 +150,20 @@
         let old = self.primacy.claim().copied();
         let ruling = self.primacy.claims(server, at, sent);
         match ruling {
-            Ruling::Known => {
-                if self.primacy.claim().is_some_and(|claim| claim.lost.is_none()) {
-                    self.spoke(now);
-                }
-            }
+            Ruling::Known => self.spoke(now),
             Ruling::Accepted => self.accepted(old, now, forecast),
             Ruling::Stale => {}
         }
         ruling
     }
 
+    /// A primary that was silent answered.
     fn spoke(&mut self, now: f64) {
         match self.phase {
             Phase::Suspected { .. } => self.release = Release::to_known(now),
-            Phase::Without { .. } => self.release = Release::new(now),
+            Phase::Without { .. } if self.primacy.claim().is_some_and(|claim| claim.lost.is_none()) => {
+                self.release = Release::new(now);
+            }
             _ => return,
         }
         self.input(Input::Spoke);
@@ -290,6 +289,8 @@
             if matches!(self.phase, Phase::Without { .. }) {
                 self.primacy.lose(now); // a successor fell silent before it served
             }
+        } else if self.primacy.find(heard) || self.phase.began().is_some_and(|began| heard > began) {
+            self.spoke(now); // by an answer that tells no role
         } else if let (Phase::Suspected { since }, None) = (self.phase, oldest) {
             // All that it owed was given up: one write shows whether it answers again.
             if now - since > PAUSE_MOST {
@@ -458,6 +459,19 @@
         assert_eq!(forecast, Forecast::default(), "no change, and nothing learned");
     }
 
+    #[test]
+    fn a_word_that_tells_no_role_is_a_word() {
+        let (mut set, _) = steady();
+        set.watch(10.3, &sight(10.0, Some(10.0)));
+        assert_eq!(set.takes_writes(), None);
+        set.watch(10.4, &sight(10.35, None));
+        assert_eq!((set.takes_writes(), set.phase()), (Some(A), Phase::Steady));
+        set.watch(12.0, &sight(10.35, Some(10.4)));
+        assert_eq!((set.takes_writes(), set.phase()), (None, Phase::Without { since: 10.4 }));
+        set.watch(12.5, &sight(12.4, None));
+        assert_eq!((set.takes_writes(), set.phase()), (Some(A), Phase::TakingOver { since: 10.4 }));
+    }
+
     #[test]
     fn a_failover_is_found_by_a_claim_and_its_length_learned() {
         let (mut set, mut forecast) = steady();
