--- a/core/src/failover/set.rs
+++ b/core/src/failover/set.rs
@@ -112,11 +112,6 @@
         self.phase
     }
 
-    /// How many claims it has seen.
-    pub fn epoch(&self) -> u64 {
-        self.primacy.epoch()
-    }
-
     /// The server that writes may go to now.
     pub fn takes_writes(&self) -> Option<ServerId> {
         let claim = self.primacy.claim().filter(|claim| claim.lost.is_none() && self.phase.takes_writes());
--- a/peers/src/program.rs
+++ b/peers/src/program.rs
@@ -70,20 +70,10 @@
         done
     }
 
-    /// Sends a signal by its name.
-    pub fn signal(&self, name: &str) -> io::Result<()> {
-        signal(&self.child, name)
-    }
-
     /// Whether the process that serves still runs.
     pub fn runs(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
     }
-
-    /// A call to the second address: the status that comes back.
-    pub fn call(&self, what: &str) -> io::Result<u16> {
-        call(self.ops, what)
-    }
 }
 
 impl Drop for Program {
