--- a/core/src/decide.rs
+++ b/core/src/decide.rs
@@ -15,20 +15,9 @@
 use crate::failover::*;
 use crate::interface::*;
 use crate::state::*;
+use crate::window::{Window, WINDOW_LEAST, WINDOW_START};
 
-// The window. Times are in seconds throughout this file.
-const WINDOW_START: f64 = 16.0; // in-flight, over all gateways; a few a core of a small server
-const WINDOW_LEAST: f64 = 2.0; // in-flight; the design's floor
-const WINDOW_MOST: f64 = 64.0; // in-flight; cm_max
-const PERIOD_DONE: f64 = 20.0; // completions that make a period worth fitting
-const PERIOD_LEAST: f64 = 1.0; // s
-const PERIOD_MOST: f64 = 4.0; // s; an idle server's period
-const PERIOD_WAITING: f64 = 4.0; // completions after which a full window with a queue is looked at again
-const PEAKS_KEPT: usize = 8; // periods over which the peak is read: one quiet period is chance
-const FORGET: f64 = 0.95; // memory of the fit for each period: about twenty of them
-const LATE_SHARE: f64 = 0.7; // of a period's endings in time, under which its window is too wide
-const LEVELS_NEEDED: usize = 4; // distinct windows without which a parabola is noise
-
+// Times are in seconds throughout this file.
 const QUEUE_PER_WINDOW: f64 = 3.0; // waiting requests for each place in the group's windows
 const PRESSED: f64 = 1.0; // s for which a wait in vain shows that the queue is too long
 const SPILL: f64 = 2.0; // times as busy as the primary a replica is before a read is kept from it
@@ -67,61 +56,6 @@
 const COLD_PACE: f64 = 2.0; // answers a second of a warm server, over all gateways, before any was seen
 const COLD_MARGIN: f64 = 0.7; // part of the cold budget that is used
 
-impl Window {
-    /// `share` is the part of the server's work that comes through this gateway.
-    fn new(now: f64, share: f64) -> Self {
-        let max = (WINDOW_START * share).clamp(WINDOW_LEAST, WINDOW_START / 2.0);
-        let peaks = vec![max; PEAKS_KEPT];
-        Self { max, peaks, began: now, clean: true, ..Self::default() }
-    }
-
-    /// `good` if it came within its class's aim: a late answer is no throughput.
-    fn completed(&mut self, good: bool) {
-        self.done += 1.0;
-        self.good += f64::from(u8::from(good));
-        if let Some(to) = self.thrash_to.filter(|to| self.max > *to) {
-            self.max = (self.max - 1.0).max(to);
-        }
-    }
-
-    /// Ends the period when it has seen enough, and sets the window from it. `waiting` is the design's r.
-    fn period(&mut self, now: f64, in_flight: f64, waiting: f64) {
-        let length = now - self.began;
-        let pressed = waiting > 0.0 && self.peak >= self.max && self.done >= PERIOD_WAITING;
-        if !(pressed || length >= PERIOD_MOST || (length >= PERIOD_LEAST && self.done >= PERIOD_DONE)) {
-            return;
-        }
-        // A server that was silent, failing or cold, or that did nothing, teaches the fit nothing.
-        if self.clean && self.done > 0.0 {
-            let (m, throughput) = (self.peak, self.good / length.max(1e-3));
-            self.rate = Some(self.rate.map_or(self.done / length, |r| r + 0.3 * (self.done / length - r)));
-            self.fit.learn(m, throughput, FORGET);
-            let level = self.levels.entry(m as u32).or_insert(throughput);
-            *level += 0.3 * (throughput - *level);
-            self.peaks.rotate_right(1);
-            self.peaks[0] = self.peak;
-            let best = self.levels.iter().max_by(|a, b| a.1.total_cmp(b.1)).map_or(m, |l| f64::from(*l.0));
-            let vertex = self.fit.vertex().filter(|_| self.levels.len() >= LEVELS_NEEDED);
-            let opt = vertex.unwrap_or_else(|| if waiting > 0.0 { best.max(self.max) + 1.0 } else { best });
-            let opt = opt.clamp(WINDOW_LEAST, WINDOW_MOST);
-            let current = self.peaks.iter().fold(0.0, |a: f64, b| a.max(*b));
-            self.thrash_to = None;
-            // Where most answers come late the curve has no peak left to find: that is thrashing as well.
-            let opt = if self.good < LATE_SHARE * self.done { opt.min(self.max * 0.75) } else { opt };
-            let opt = opt.max(WINDOW_LEAST);
-            if self.peak >= self.max && self.max > opt {
-                self.thrash_to = Some(opt);
-            } else if self.peak >= self.max {
-                self.max += (opt - self.max) * (waiting / (waiting + 2.0));
-            } else {
-                self.max = self.max.min(current);
-            }
-            self.max = self.max.clamp(WINDOW_LEAST, WINDOW_MOST);
-        }
-        (self.began, self.done, self.good, self.peak, self.clean) = (now, 0.0, 0.0, in_flight, true);
-    }
-}
-
 /// One gateway: fed with events, it answers with actions.
 pub struct Gateway {
     cfg: Settings,
@@ -876,7 +810,7 @@
             let ahead = up.iter().filter(|s| replica(s) && s.1.has_room(now) && now - s.1.heard > 1.0);
             chosen = ahead.max_by(|a, b| a.1.position.total_cmp(&b.1.position)).copied();
         }
-        // Where only reports tell it, a position is asked for, lest all reads end at the primary. Costs a probe.
+        // Where reports alone tell positions, one is asked for, lest all reads end at the primary.
         let ask = !guess && self.crowd && self.cfg.limits.probes && self.cfg.reports != Reports::Silent;
         if fresh.is_empty() && ask {
             let free = |s: &(ServerId, &Server)| !s.1.closed() && s.1.has_room(now);
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod failover;
 pub mod interface;
 mod state;
+mod window;
 
 pub use decide::Gateway;
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -1,27 +1,11 @@
 //! What the decision module remembers: plain data, times in seconds. What is done with it is in `decide.rs`.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::estimate::Gauge;
 use crate::failover::{Fate, Set};
 use crate::interface::{Class, ClassId, Effect, GroupId, Outcome, Request, ServerId, ZoneId};
-
-/// A server's window: mplmax, and what the present period has shown.
-#[derive(Default)]
-pub(crate) struct Window {
-    pub max: f64,
-    pub peak: f64,
-    pub peaks: Vec<f64>,
-    pub began: f64,
-    pub done: f64,
-    pub good: f64,
-    pub clean: bool,
-    pub thrash_to: Option<f64>,
-    pub fit: crate::estimate::Fit,
-    pub levels: BTreeMap<u32, f64>,
-    pub rate: Option<f64>,
-}
+use crate::window::Window;
 
 /// A server that gives no answers: what is known of its state, and when it is tried again.
 pub(crate) struct Down {
