--- a/core/src/decide.rs
+++ b/core/src/decide.rs
@@ -14,6 +14,7 @@
 use crate::estimate::{Gauge, Memory};
 use crate::failover::*;
 use crate::interface::*;
+use crate::scout::{self, scout};
 use crate::state::*;
 use crate::window::{Window, WINDOW_LEAST, WINDOW_START};
 
@@ -71,6 +72,7 @@
     meters: Vec<Meter>,
     sessions: BTreeMap<String, f64>,
     retries: f64,
+    age_bound: Option<f64>,
     crowd: bool, // the floors of all gateways' windows together are more than a server should hold
     answers: (f64, f64), // from warm servers, and the s x rating in which they came; both fade
     in_time: Gauge,
@@ -95,6 +97,7 @@
             lost: Gauge::default(),
             refused: Gauge::default(),
             in_time: Gauge::default(),
+            age_bound: scout::bound(&settings),
             crowd: f64::from(settings.gateways) * WINDOW_LEAST > WINDOW_START,
             cfg: settings,
             servers: BTreeMap::new(),
@@ -168,6 +171,7 @@
             }
         }
         self.meters.resize(settings.tenants.len(), Meter::default());
+        self.age_bound = scout::bound(&settings);
         self.crowd = f64::from(settings.gateways) * WINDOW_LEAST > WINDOW_START;
         self.cfg = settings;
     }
@@ -749,7 +753,14 @@
         let set = &self.groups.get(&p.request.group)?.set;
         if let Some((primary, server)) = set.takes_writes().and_then(|i| Some((i, self.servers.get(&i)?))) {
             let fits = set.admits_write() && server.has_room(now) && self.permitted(p, primary, server);
-            return fits.then(|| (primary, self.timeout(p, server)));
+            if !fits {
+                return None;
+            }
+            let first = p.attempts == 0 && p.most_attempts > 2 && set.phase() == Phase::Steady;
+            let replicas = self.members(p.request.group).filter(|m| m.0 != primary && first && self.crowd);
+            let may = |id, s: &Server| !set.is_deposed(id) && s.has_room(now) && self.permitted(p, id, s);
+            let asked = self.age_bound.and_then(|bound| scout(replicas, bound, now, may, id.0));
+            return Some((asked.unwrap_or(primary), self.timeout(p, server)));
         }
         // No primary: one write at a time asks the members in id order; after a round the next one waits.
         if !set.may_ask(now) || p.attempts + 2 > p.most_attempts {
