--- a/core/src/decide.rs
+++ b/core/src/decide.rs
@@ -16,6 +16,7 @@
 use crate::interface::*;
 use crate::scout::{self, scout};
 use crate::state::*;
+use crate::subscription::Subscription;
 use crate::window::{Window, WINDOW_LEAST, WINDOW_START};
 
 // Times are in seconds throughout this file.
@@ -48,7 +49,6 @@
 const REFUSED_SHARE: f64 = 0.1; // of attempts, over which connections are taken to be short
 const GHOST_MOST: f64 = 2.0; // s that an attempt given up on keeps its place
 const ASK_WAIT: f64 = 0.03; // s that a read waits for the position of a replica that was asked
-const ASK_FIRST: f64 = 0.5; // s until the list is asked for again after a failure; doubles
 const TRIAL_FIRST: f64 = 0.3; // s until a server that is down gets a trial
 const TRIAL_MOST: f64 = 2.0; // s between later trials
 const PLACED_WITHIN: f64 = 0.49; // of a read's time, after which it is given up where no server takes it
@@ -62,6 +62,7 @@
     cfg: Settings,
     rng: Pcg64Mcg,
     clock: Clock,
+    subscription: Subscription,
     now: f64,
     servers: BTreeMap<ServerId, Server>,
     out_by_hand: BTreeSet<ServerId>,
@@ -91,7 +92,8 @@
             times: settings.classes.iter().map(ClassTime::guess).collect(),
             mix: vec![0.0; settings.classes.len()],
             meters: vec![Meter::default(); settings.tenants.len()],
-            clock: Clock { ask_pause: ASK_FIRST, ..Clock::default() },
+            clock: Clock::default(),
+            subscription: Subscription::default(),
             retries: (RETRY_BURST / f64::from(settings.gateways)).max(1.0),
             answers: (COLD_PACE / f64::from(settings.gateways), 1.0),
             lost: Gauge::default(),
@@ -193,15 +195,13 @@
     }
 
     fn learn_view(&mut self, view: View) {
-        self.clock.watching = matches!(view, View::Changes(_) | View::All(_));
+        match view {
+            View::Changes(_) | View::All(_) => self.subscription.heard(),
+            View::Remembered(_) => self.subscription.remembered(),
+            View::Refused => self.subscription.refused(self.now, &self.cfg, || self.rng.random()),
+        }
         let (entries, full) = match view {
-            View::Refused => {
-                // Subscriptions fail and break: ask again, each time later, so that many don't ask at once.
-                self.clock.ask_at = self.now + self.clock.ask_pause * self.rng.random_range(0.5..1.5);
-                self.clock.ask_pause =
-                    (self.clock.ask_pause * 2.0).min(secs(self.cfg.contract.ask_every) / 4.0).max(ASK_FIRST);
-                return;
-            }
+            View::Refused => return,
             View::Changes(entries) => (entries, false),
             View::All(entries) | View::Remembered(entries) => (entries, true),
         };
@@ -555,10 +555,9 @@
 
     fn follow_list(&mut self, actions: &mut Vec<Action>) {
         // Where the list must be asked for: subscribe, and take a missing answer for a failure.
-        let subscribe = self.cfg.discovery == Discovery::Subscribe && !self.clock.watching;
-        if subscribe && self.now >= self.clock.ask_at {
+        let subscribe = self.cfg.discovery == Discovery::Subscribe;
+        if subscribe && self.subscription.asks(self.now, &self.cfg, || self.rng.random()) {
             actions.push(Action::Watch { on: true });
-            self.clock.ask_at = self.now + 0.5 * secs(self.cfg.contract.ask_every);
         }
     }
 
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod interface;
 mod scout;
 mod state;
+mod subscription;
 mod window;
 
 pub use decide::Gateway;
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -170,16 +170,13 @@
     pub at: f64,
 }
 
-/// When things are to be done next, and the subscription to the list.
+/// When things are to be done next.
 #[derive(Default)]
 pub(crate) struct Clock {
     pub judged: f64,
     pub elapsed: f64,
     /// How long the gateway stood still before this step.
     pub stood: f64,
-    pub watching: bool,
-    pub ask_at: f64,
-    pub ask_pause: f64,
     pub timer: Option<f64>,
     pub timers: u64,
 }
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::*;
 use pipittack_core::interface::*;
 use pipittack_core::Gateway;
@@ -94,3 +96,66 @@
     assert!(on_replicas * 10 >= reads * 9, "{on_replicas} of {reads} on replicas");
     assert_eq!(missed, 0, "three gateways hear of all replicas by themselves");
 }
+
+/// Discovery as the operators describe it and the large fleet met it: one queue, in which a call takes 65 ms of work,
+/// fails after 2 s, and is worked on all the same.
+#[derive(Default)]
+struct Desk {
+    free_at: Duration,
+    /// When each call is answered, by whom, and whether in time.
+    answers: Vec<(Duration, usize, bool)>,
+}
+
+impl Desk {
+    fn call(&mut self, now: Duration, gateway: usize) {
+        self.free_at = self.free_at.max(now) + ms(65);
+        let late = self.free_at > now + ms(2000);
+        self.answers.push((if late { now + ms(2000) } else { self.free_at }, gateway, !late));
+    }
+}
+
+/// Starts all gateways at once, 12 s after which all subscriptions break. Gives when the last one had news for the
+/// first time, when the last one had them again, in ms, and how many calls failed.
+fn subscribe_all(gateways: u32) -> (u64, u64, usize) {
+    let s = Settings { gateways, discovery: Discovery::Subscribe, ..settings() };
+    let (mut fleet, mut desk, start) = (fleet(&s), Desk::default(), ms(100_000));
+    let (mut heard, mut failed) = (vec![[None; 2]; fleet.len()], 0);
+    let calls = |actions: &[Action]| actions.contains(&Action::Watch { on: true });
+    // The first step of each, which `fleet` has taken, may have asked at once.
+    let mut asked: Vec<usize> = if gateways <= 20 { (0..fleet.len()).collect() } else { Vec::new() };
+    for tick in 0..2400u64 {
+        let now = start + ms(tick * 10);
+        asked.drain(..).for_each(|at| desk.call(now, at));
+        let broken = tick == 1200;
+        for (at, b) in fleet.iter_mut().enumerate() {
+            b.now = now;
+            let mut events = Vec::new();
+            if broken {
+                events.push(Event::View(View::Refused));
+            }
+            let due = |answer: &(Duration, usize, bool)| answer.0 <= now && answer.1 == at;
+            for (_, _, well) in desk.answers.extract_if(.., |answer| due(answer)) {
+                failed += usize::from(!well);
+                if well {
+                    heard[at][usize::from(tick > 1200)].get_or_insert(tick * 10);
+                }
+                events.push(Event::View(if well { View::Changes(Vec::new()) } else { View::Refused }));
+            }
+            if calls(&b.step(events)) {
+                asked.push(at);
+            }
+        }
+    }
+    let last = |n: usize| heard.iter().map(|h| h[n].expect("all have news in the end")).max().unwrap_or(0);
+    (last(0), last(1) - 12_000, failed)
+}
+
+#[test]
+fn a_fleet_that_starts_or_loses_discovery_at_once_does_not_jam_it() {
+    // Found on herd+vast: 100 watches at once, 60 of them late; their retries kept the queue over 2 s long, and from
+    // 2 to 13 s no proxy heard of any change, nor most of them after 70 had been restarted.
+    let (first, again, failed) = subscribe_all(100);
+    assert!(first < 9_000 && again < 10_500 && failed <= 10, "{first} ms, {again} ms, {failed} failed");
+    let (first, again, failed) = subscribe_all(4);
+    assert!(first < 300 && again < 1_100 && failed == 0, "{first} ms, {again} ms, {failed} failed");
+}
