--- a/core/src/decide.rs
+++ b/core/src/decide.rs
@@ -271,11 +271,22 @@
             id,
             Pending::new(request, now, aim, deadline, token, over_share, self.cfg.limits.attempts),
         );
-        if shed {
+        if shed && !self.has_calm(id) {
             self.finish(id, None, actions);
         }
     }
 
+    /// Whether a replica that is fresh enough for a read, and was not slow, has room for it.
+    fn has_calm(&self, id: RequestId) -> bool {
+        let Some(p) = self.pending.get(&id) else { return false };
+        let required = self.required(p);
+        let primary = self.groups.get(&p.request.group).and_then(|g| g.set.primary());
+        self.members(p.request.group).any(|(i, s)| {
+            let calm = s.has_room(self.now) && s.slowness_at(self.now) < SPILL;
+            primary != Some(i) && calm && s.position >= required && self.permitted(p, i, s)
+        })
+    }
+
     /// Where the floors of all gateways' windows together are more than a server should hold, no window
     /// bounds the fleet: then the share of reads let in follows the share answered in time, reads of most
     /// worth for each second of work first. Guards against servers that are late for all. Harms where
