--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -260,3 +260,73 @@
     assert!(late >= 280, "{late} of 840 refused where all come late");
     assert_eq!(calm, 0, "of 28, refused where a replica has room");
 }
+
+#[test]
+fn fleets_and_lists_of_any_size_neither_panic_nor_stall() {
+    for gateways in [1, 21, 1000, u32::MAX] {
+        for servers in [0u32, 1, 200] {
+            let s = Settings { gateways, discovery: Discovery::Subscribe, ..settings() };
+            let mut b = Bench::new(s.clone());
+            b.gateway = Gateway::new(s, 3).expect("valid");
+            // Each entry twice, half of them gone again later, some of groups that no request names.
+            let group = |n: u32| GroupId(u64::from(n / 4));
+            let list: Vec<_> = (0..servers)
+                .chain(0..servers)
+                .map(|n| Entry { group: group(n), ..entry(n, n % 4 == 0) })
+                .collect();
+            let gone = list.iter().skip(1).step_by(2).map(|e| Entry { health: Health::Gone, ..e.clone() });
+            let unknown = Entry { health: Health::Gone, ..entry(9999, true) };
+            let news = [
+                View::Remembered(list.clone()),
+                View::All(list.clone()),
+                View::Refused,
+                View::Changes(gone.chain([unknown]).collect()),
+                View::All(Vec::new()),
+                View::Refused,
+            ];
+            let (mut open, mut asked) = (std::collections::BTreeSet::new(), false);
+            for tick in 0..1500u64 {
+                b.now += ms(10);
+                let mut events: Vec<_> = news
+                    .get((tick / 100) as usize)
+                    .filter(|_| tick % 100 == 0)
+                    .cloned()
+                    .map(Event::View)
+                    .into_iter()
+                    .collect();
+                if tick < 700 && tick % 5 == 0 {
+                    let class = [LOOK, OWN, ONCE, ANY][(tick / 5 % 4) as usize];
+                    let request = Request { group: GroupId(1 + tick % 60), ..b.request(class) };
+                    open.insert(request.id);
+                    events.push(Event::Request(request));
+                }
+                let mut actions = b.step(events);
+                while let Some((_, _, server)) = b.sent.first().copied() {
+                    let (id, outcome) =
+                        (b.sent[0].0, if server.0 % 3 == 0 { Outcome::ConnectFailed } else { Outcome::Ok });
+                    if outcome == Outcome::Ok {
+                        open.remove(&id);
+                    }
+                    actions.extend(b.end(
+                        outcome,
+                        Some(server.0 % 4 == 0).filter(|_| outcome == Outcome::Ok),
+                        ms(5),
+                    ));
+                }
+                for action in &actions {
+                    match action {
+                        Action::Refuse { request, .. } | Action::Fail { request } => {
+                            open.remove(request);
+                        }
+                        Action::Watch { .. } => asked = true,
+                        _ => {}
+                    }
+                }
+            }
+            assert!(open.is_empty(), "{} open with {gateways} gateways, {servers} servers", open.len());
+            assert!(asked, "discovery was never asked with {gateways} gateways");
+        }
+    }
+    let none = Settings { gateways: 0, ..settings() };
+    assert_eq!(Gateway::new(none, 0).err(), Some(SettingsError::OutOfRange("the number of gateways")));
+}
