Tell a client that comes while others are sent away so, also where its startup is late

clients_are_sent_away_and_taken_again failed once on a busy machine: a connection taken before its startup packet had come was closed without a word, since more() ended all that had begun nothing. A fresh connection now ends so only when the process does; otherwise its startup is read and answered 57P03.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -498,15 +498,15 @@
         Ok(())
     }
 
-    /// Reads on, but not past `late`; false when the client is gone, or when the proxy closes and nothing was
-    /// begun. Guards against half a message that keeps its place for good.
-    async fn more(&mut self, late: Option<Instant>) -> io::Result<bool> {
+    /// Reads on, but not past `late`; false when the client is gone, or when nothing was begun and the door stands at
+    /// `ends` or further. Guards against half a message that keeps its place for good.
+    async fn more(&mut self, late: Option<Instant>, ends: Door) -> io::Result<bool> {
         let mut door = self.side.door.subscribe();
         let between = self.inbound.is_empty();
         tokio::select! {
             biased;
             read = self.inbound.fill(&self.stream) => return Ok(read? > 0),
-            _ = door.wait_for(|door| *door >= Door::SentAway), if between => {
+            _ = door.wait_for(|door| *door >= ends), if between => {
                 self.leaves = true;
                 return Ok(false);
             }
@@ -529,7 +529,8 @@
                 // Who is slow is not silent.
                 let silent = self.inbound.is_empty();
                 let _stands = silent.then(|| Stands::new(&self.side.silent, self.number));
-                if !self.more(late).await? {
+                // Who connects while clients are sent away is told so; its startup may be on its way.
+                if !self.more(late, Door::Closed).await? {
                     return Ok(Flow::End);
                 }
                 continue;
@@ -583,7 +584,7 @@
             if !between && (late.is_none() || long) {
                 late = Some((Instant::now() + MESSAGE_WITHIN).min(begun + LONGEST_MESSAGE));
             }
-            if !self.more(late).await? {
+            if !self.more(late, Door::SentAway).await? {
                 return Ok(None);
             }
         }
