--- a/core/src/decide.rs
+++ b/core/src/decide.rs
@@ -74,7 +74,6 @@
     meters: Vec<Meter>,
     sessions: BTreeMap<String, f64>,
     retries: f64,
-    age_bound: Option<f64>,
     crowd: bool, // the floors of all gateways' windows together are more than a server should hold
     pace: Pace,
     in_time: Gauge,
@@ -100,7 +99,6 @@
             lost: Gauge::default(),
             refused: Gauge::default(),
             in_time: Gauge::default(),
-            age_bound: scout::bound(&settings),
             crowd: f64::from(settings.gateways) * WINDOW_LEAST > WINDOW_START,
             cfg: settings,
             servers: BTreeMap::new(),
@@ -174,7 +172,6 @@
             }
         }
         self.meters.resize(settings.tenants.len(), Meter::default());
-        self.age_bound = scout::bound(&settings);
         self.crowd = f64::from(settings.gateways) * WINDOW_LEAST > WINDOW_START;
         self.cfg = settings;
     }
@@ -778,9 +775,10 @@
                 return None;
             }
             let first = p.attempts == 0 && p.most_attempts > 2 && set.phase() == Phase::Steady;
-            let replicas = self.members(p.request.group).filter(|m| m.0 != primary && first && self.crowd);
+            let bound = if self.crowd && first { scout::bound(&self.cfg) } else { None };
+            let replicas = self.members(p.request.group).filter(|m| m.0 != primary);
             let may = |id, s: &Server| !set.is_deposed(id) && s.has_room(now) && self.permitted(p, id, s);
-            let asked = self.age_bound.and_then(|bound| scout(replicas, bound, now, may, id.0));
+            let asked = bound.and_then(|bound| scout(replicas, bound, now, may, id.0));
             return Some((asked.unwrap_or(primary), self.timeout(p, server)));
         }
         // No primary: one write at a time asks the members in id order; after a round the next one waits.
@@ -850,8 +848,8 @@
             chosen = ahead.max_by(|a, b| a.1.position.total_cmp(&b.1.position)).copied();
         }
         // Where reports alone tell positions, one is asked for, lest all reads end at the primary.
-        let ask = !guess && self.crowd && self.cfg.limits.probes && self.cfg.reports != Reports::Silent;
-        if fresh.is_empty() && ask {
+        let tells = self.cfg.limits.probes && self.cfg.reports != Reports::Silent;
+        if fresh.is_empty() && !guess && self.crowd && tells {
             let free = |s: &(ServerId, &Server)| !s.1.closed() && s.1.has_room(now);
             let replicas = self.members(p.request.group).filter(|s| replica(s) && free(s));
             if replicas.clone().any(|(_, s)| s.probing && now - s.asked < ASK_WAIT) {
--- a/core/src/failover/mod.rs
+++ b/core/src/failover/mod.rs
@@ -22,6 +22,7 @@
 pub use phase::{Input, Phase};
 pub use primacy::{Claim, Primacy, Ruling, Word};
 pub use release::Release;
+pub(crate) use set::ASK_SILENT;
 pub use set::{News, Set, Sight};
 pub use suspicion::{Patience, Pulse};
 
--- a/core/src/failover/set.rs
+++ b/core/src/failover/set.rs
@@ -12,7 +12,7 @@
 /// Time in s between two writes that ask members who the primary is, within a round.
 const ASK_NEXT: f64 = 0.01;
 /// A member that has owed an answer for so many s is not asked: what would be asked of it may hang with it.
-const ASK_SILENT: f64 = 0.15;
+pub(crate) const ASK_SILENT: f64 = 0.15;
 /// Pauses in s between rounds of asking: as a rule, and once changes of the kind have been known to end.
 const ASK_PAUSE: (f64, f64) = (0.1, 0.03);
 /// Part of the shortest known change after which its end may be near.
@@ -277,8 +277,9 @@
         let heard = self.primacy.claim().map_or(sight.heard, |claim| claim.since.max(sight.heard));
         let since = oldest.map_or(heard, |oldest| oldest.max(heard));
         let suspected = sight.patience.suspects_at(self.pulse, heard, oldest).is_some_and(|at| now >= at);
-        let pause = PAUSE_MOST.0.max(PAUSE_MOST.1 * sight.patience.bound(self.pulse));
-        if sight.down || (suspected && now - since > pause) {
+        let pulse = self.pulse;
+        let pause = || PAUSE_MOST.0.max(PAUSE_MOST.1 * sight.patience.bound(pulse));
+        if sight.down || (suspected && now - since > pause()) {
             self.primacy.lose(now);
             self.input(Input::Lost(since));
         } else if suspected {
@@ -290,7 +291,7 @@
             self.spoke(now); // by an answer that tells no role
         } else if let (Phase::Suspected { since }, None) = (self.phase, oldest) {
             // All that it owed was given up: one write shows whether it answers again.
-            if now - since > pause {
+            if now - since > pause() {
                 self.input(Input::Spoke);
                 self.release = Release::new(now);
             }
--- a/core/src/scout.rs
+++ b/core/src/scout.rs
@@ -6,13 +6,12 @@
 //! write goes to one first. Owns when that is so and to whom it goes. It must never send one where a word is not to
 //! be had at once, for the write waits for it, nor more than one for a write.
 
+use crate::failover::ASK_SILENT;
 use crate::interface::{Need, ServerId, Settings};
 use crate::state::{secs, Server};
 
 /// Part of the bound on age for which what a replica told must still hold: sooner or later a read is to go by it.
 const HOLDS: f64 = 0.2;
-/// One that has owed an answer for so many s may not speak at once.
-const SILENT: f64 = 0.15;
 
 /// The shortest age in s that a class of reads bounds its data to, where answers tell positions.
 pub(crate) fn bound(settings: &Settings) -> Option<f64> {
@@ -37,7 +36,7 @@
         if server.position >= now - (1.0 - HOLDS) * bound {
             return None;
         }
-        if server.silence(now) < SILENT && may(id, server) {
+        if server.silence(now) < ASK_SILENT && may(id, server) {
             able.push(id);
         }
     }
--- a/core/src/subscription.rs
+++ b/core/src/subscription.rs
@@ -30,10 +30,13 @@
     failures: i32,
 }
 
-/// The time in s that the calls of all gateways are spread over.
-fn spread(settings: &Settings) -> f64 {
-    let rest = (f64::from(settings.gateways) - BURST).max(0.0);
-    (rest * EACH).min(SPREAD_MOST * secs(settings.contract.ask_every))
+/// How much later in s than at once a gateway calls: a random part of what the calls of all are spread over.
+fn apart(settings: &Settings, chance: impl FnOnce() -> f64) -> f64 {
+    let rest = f64::from(settings.gateways) - BURST;
+    if rest <= 0.0 {
+        return 0.0;
+    }
+    (rest * EACH).min(SPREAD_MOST * secs(settings.contract.ask_every)) * chance()
 }
 
 impl Subscription {
@@ -51,8 +54,7 @@
     pub fn refused(&mut self, now: f64, settings: &Settings, mut chance: impl FnMut() -> f64) {
         let most = PAUSE_MOST * secs(settings.contract.ask_every);
         let pause = (PAUSE_FIRST * 2f64.powi(self.failures)).min(most).max(PAUSE_FIRST);
-        let spread = spread(settings);
-        let apart = if spread > 0.0 { spread * chance() } else { 0.0 };
+        let apart = apart(settings, &mut chance);
         (self.watching, self.failures) = (false, (self.failures + 1).min(16));
         self.ask_at = Some(now + pause * (0.5 + chance()) + apart);
     }
@@ -62,9 +64,7 @@
         if self.watching {
             return false;
         }
-        let spread = spread(settings);
-        let first = || now + if spread > 0.0 { spread * chance() } else { 0.0 };
-        let due = now >= *self.ask_at.get_or_insert_with(first);
+        let due = now >= *self.ask_at.get_or_insert_with(|| now + apart(settings, chance));
         if due {
             self.ask_at = Some(now + AGAIN_AFTER * secs(settings.contract.ask_every));
         }
--- a/core/tests/common/mod.rs
+++ b/core/tests/common/mod.rs
@@ -100,7 +100,11 @@
 
 impl Bench {
     pub fn new(settings: Settings) -> Self {
-        let gateway = Gateway::new(settings, 7).expect("valid settings");
+        Self::seeded(settings, 7)
+    }
+
+    pub fn seeded(settings: Settings, seed: u64) -> Self {
+        let gateway = Gateway::new(settings, seed).expect("valid settings");
         let mut bench = Self {
             gateway,
             now: ms(100_000),
--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -14,14 +14,7 @@
 
 /// The gateways of a fleet, each with its own seed, that remember the same three servers.
 fn fleet(settings: &Settings) -> Vec<Bench> {
-    let gateway = |index| {
-        let settings = Settings { index, ..settings.clone() };
-        let mut b = Bench::new(settings.clone());
-        b.gateway = Gateway::new(settings, u64::from(index)).expect("valid");
-        let list = vec![entry(1, true), entry(2, false), entry(3, false)];
-        b.step(vec![Event::View(View::Remembered(list))]);
-        b
-    };
+    let gateway = |index| Bench::seeded(Settings { index, ..settings.clone() }, u64::from(index));
     (0..settings.gateways).map(gateway).collect()
 }
 
@@ -30,6 +23,15 @@
     (n.wrapping_mul(0x9E37_79B9_7F4A_7C15) >> 33) % below
 }
 
+/// A class by chance: so many writes in a hundred, and so many reads that any server may serve; the rest has a bound.
+fn class(n: u64, writes: u64, any: u64) -> ClassId {
+    match chance(n, 100) {
+        kind if kind < writes => ONCE,
+        kind if kind < 100 - any => LOOK,
+        _ => ANY,
+    }
+}
+
 #[test]
 fn connections_to_sound_servers_stay_when_others_die() {
     // Found on zone+vast: servers of a lost hall refused connections, all proxies took connections to be short,
@@ -64,15 +66,9 @@
         let at = chance(2 * n, u64::from(gateways)) as usize;
         fleet.iter_mut().for_each(|b| b.now += ms(10));
         let b = &mut fleet[at];
-        let kind = chance(2 * n + 1, 100);
-        let write = kind < 30;
-        b.call(if write {
-            ONCE
-        } else if kind < 95 {
-            LOOK
-        } else {
-            ANY
-        });
+        let class = class(2 * n + 1, 30, 5);
+        let write = class == ONCE;
+        b.call(class);
         reads += usize::from(!write);
         while let Some((_, _, server)) = b.sent.first().copied() {
             let primary = server == ServerId(1);
@@ -170,8 +166,7 @@
         let (at, changed) = (tick * 10, tick * 10 >= change);
         let second = (at.saturating_sub(change) / 1000) as usize;
         let chosen = chance(3 * tick, 100) as usize;
-        let kind = chance(3 * tick + 1, 100);
-        let write = kind < 40;
+        let class = class(3 * tick + 1, 40, 10);
         for (index, b) in fleet.iter_mut().enumerate() {
             b.now += ms(10);
             let mut events = Vec::new();
@@ -181,14 +176,8 @@
                 events.push(Event::View(View::Changes(vec![left, new])));
             }
             if index == chosen {
-                events.push(Event::Request(b.request(if write {
-                    ONCE
-                } else if kind < 90 {
-                    LOOK
-                } else {
-                    ANY
-                })));
-                asked[second] += f64::from(u8::from(changed && write));
+                events.push(Event::Request(b.request(class)));
+                asked[second] += f64::from(u8::from(changed && class == ONCE));
             }
             b.step(events);
             while let Some((_, _, server)) = b.sent.first().copied() {
