Close the door last when told to end: returning clients were never taken

What remains is a query that is on its way while its connection closes. Its client comes again, once, on a new connection, and nobody took that one: run() in net/clients.rs left the accept loop in the moment in which all connections were closed, while the copy of the listener that net/handover.rs holds for a successor kept the queue open up to the end of the process, which reset it.

Change: core/src/farewell.rs says how a process ends, in phases: notice (0.45 s), leaving (connections end between requests, the door stays open and who comes is taken for a request), closing (once nobody is left for 0.25 s), ended. Requests that come late get their answer before the process is over. The system is asked for unread bytes and for the rest of the queue.

--- /dev/null
+++ b/core/src/farewell.rs
@@ -0,0 +1,132 @@
+//! How a process that was told to end lets its clients go.
+//!
+//! Owns the phases between that word and the end of the process, how long a connection may stand in each, and how
+//! much of its time a request that still comes may take. Times are those of one clock. It must never hold an
+//! answer back, end a connection of which something was read and not answered, nor outlast the time after which the
+//! platform kills what has not ended.
+//!
+//! A connection can't be closed without a race: a query that is on its way while its connection closes comes again,
+//! once, on a new one. So connections go first and the door last, and the door stays open for those that return.
+
+use std::time::Duration;
+
+/// Time after the word for which all goes on as before: the front still sends new connections.
+pub const NOTICE: Duration = Duration::from_millis(450);
+/// Time after a connection was let go in which a client whose query crossed that comes again.
+pub const RETURNS_WITHIN: Duration = Duration::from_millis(250);
+/// Time in which a connection that has asked nothing yet is owed the chance to, from when it came.
+pub const ASKS_WITHIN: Duration = Duration::from_secs(1);
+/// What the platform waits for at the most, beside the notice and the time to settle: the longest deadline, counted
+/// as this where it is longer.
+const LONGEST: Duration = Duration::from_secs(3);
+/// Time past the last deadline in which final answers are still written.
+const SETTLE: Duration = Duration::from_millis(150);
+
+/// How far a process that was told to end has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// All goes on as before.
+    Notice,
+    /// Connections end as soon as they stand between requests. New ones are taken, each for a request.
+    Leaving,
+    /// The door is to be closed; what stands in its queue is taken in, each for a request.
+    Closing,
+    /// Nothing is owed any more, or the time is up.
+    Ended,
+}
+
+/// What a connection without an open request stands for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// It has asked nothing yet.
+    Silent,
+    /// All that it asked was answered.
+    Between,
+    /// A part of a message has come.
+    Begun,
+}
+
+/// The course of one process's end.
+#[derive(Debug, Clone)]
+pub struct Farewell {
+    told: Duration,
+    ends: Duration,
+    connected: usize,
+    /// When the last connection was let go.
+    last_left: Duration,
+    /// A successor has the door's queue and takes over connections.
+    handed: bool,
+    /// The door is closed, and what stood in its queue was taken in.
+    shut: bool,
+}
+
+impl Farewell {
+    /// The word came with so many clients connected; `longest` is the longest deadline of a class.
+    pub fn new(told: Duration, longest: Duration, connected: usize) -> Self {
+        let ends = told + NOTICE + longest.min(LONGEST) + SETTLE;
+        Self { told, ends, connected, last_left: told, handed: false, shut: false }
+    }
+
+    /// A connection was taken in.
+    pub fn came(&mut self) {
+        self.connected += 1;
+    }
+
+    /// A connection is gone.
+    pub fn left(&mut self, now: Duration) {
+        self.connected = self.connected.saturating_sub(1);
+        self.last_left = now;
+    }
+
+    /// Whether a successor has the queue and takes connections over.
+    pub fn set_handed(&mut self, handed: bool) {
+        self.handed = handed;
+    }
+
+    /// The door is closed, and its queue is empty.
+    pub fn shut(&mut self) {
+        self.shut = true;
+    }
+
+    /// How far it has come.
+    pub fn phase(&self, now: Duration) -> Phase {
+        match () {
+            () if now >= self.ends || (self.shut && self.connected == 0) => Phase::Ended,
+            () if self.handed || self.shut => Phase::Closing,
+            () if now < self.leaves() => Phase::Notice,
+            () if self.connected == 0 && now >= self.quiet() => Phase::Closing,
+            () => Phase::Leaving,
+        }
+    }
+
+    /// When the phase changes without anything else happening.
+    pub fn next(&self, now: Duration) -> Duration {
+        let times = [self.leaves(), self.quiet(), self.ends];
+        times.into_iter().filter(|at| *at > now).min().unwrap_or(self.ends)
+    }
+
+    /// Until when a connection may stand so that came at `since`; past it, it ends, but only once it was seen
+    /// that nothing of it lies unread. None where only the rules of service bound it.
+    pub fn stands_until(&self, standing: Standing, since: Duration) -> Option<Duration> {
+        match standing {
+            Standing::Begun => None,
+            // A successor goes on with what has asked nothing as well.
+            _ if self.handed => Some(self.told),
+            Standing::Between => Some(self.leaves()),
+            Standing::Silent => Some((since + ASKS_WITHIN).max(self.leaves()).min(self.ends)),
+        }
+    }
+
+    /// How much of the time that its client waits a request may take that comes now: it is over before the process is.
+    pub fn time_left(&self, now: Duration, wanted: Duration) -> Duration {
+        wanted.min((self.ends - SETTLE / 3).saturating_sub(now))
+    }
+
+    fn leaves(&self) -> Duration {
+        self.told + NOTICE
+    }
+
+    fn quiet(&self) -> Duration {
+        self.last_left.max(self.leaves()) + RETURNS_WITHIN
+    }
+}
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod decide;
 pub mod estimate;
 pub mod failover;
+pub mod farewell;
 pub mod interface;
 mod pace;
 mod scout;
--- a/src/main.rs
+++ b/src/main.rs
@@ -39,11 +39,6 @@
 const CLIENT_SHARE: (f64, f64) = (0.55, 0.86);
 /// Time after which a process is ready without news of discovery.
 const LISTED_WITHIN: Duration = Duration::from_millis(4500);
-/// After SIGTERM, time for which new clients still come.
-const FAREWELL: Duration = Duration::from_millis(450);
-/// Time past the longest deadline after which a run that is to end ends. With the farewell it must stay under
-/// the 0.7 s past that deadline at which the platform kills what has not ended.
-const OVERTIME: Duration = Duration::from_millis(150);
 /// Part of the memory that is for bytes on their way; the rest is for the program and all it keeps.
 const BUFFER_SHARE: f64 = 0.7;
 
@@ -228,10 +223,13 @@
     let driver = exchange.clone();
     spawn_local(async move { driver.run().await });
     let shares = Rc::new(Shares { clients: clients.clone(), exchange: exchange.clone(), pool });
-    if let Some(path) = path {
-        let listener = listener.as_fd().try_clone_to_owned().map_err(|e| format!("can't listen: {e}"))?;
-        spawn_local(handover::run(path, listener, shares.clone()));
-    }
+    let holds = match path {
+        Some(path) => {
+            let listener = listener.as_fd().try_clone_to_owned().map_err(|e| format!("can't listen: {e}"))?;
+            Some(spawn_local(handover::run(path, listener, shares.clone())))
+        }
+        None => None,
+    };
     let recalled = heritage.as_ref().map(|heritage| heritage.known.clone());
     if let Some(heritage) = heritage {
         clients.set_limit(Some(heritage.clients));
@@ -243,7 +241,7 @@
         let _ = timeout(LISTED_WITHIN, opened.listed()).await;
         opened.ready.set(true);
     };
-    let door = spawn_local(async move {
+    spawn_local(async move {
         // A successor lets the other process serve until it can do so itself.
         if let Some(known) = recalled {
             prepare.await;
@@ -252,7 +250,7 @@
             spawn_local(prepare);
         }
         log::info!("serving at {address}");
-        door.run(listener).await;
+        door.run(listener, holds).await;
     });
 
     loop {
@@ -277,16 +275,10 @@
         }
     }
     log::info!("told to end; {} requests open", exchange.open_requests());
-    if !clients.has_successor() {
-        tokio::time::sleep(FAREWELL).await;
-    }
-    clients.close();
-    let finished = async {
-        let _ = door.await;
-        clients.gone().await;
-    };
-    if timeout(exchange.longest() + OVERTIME, finished).await.is_err() {
-        log::warn!("ended with {} requests open", exchange.open_requests());
+    clients.farewell().await;
+    match exchange.open_requests() {
+        0 => {}
+        open => log::warn!("ended with {open} requests open"),
     }
     Ok(())
 }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -7,15 +7,18 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::io::{self, IoSlice};
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::ops::Range;
 use std::rc::Rc;
 use std::time::Duration;
 
+use pipittack_core::farewell::{Farewell, Phase, Standing};
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{watch, Notify};
-use tokio::task::AbortHandle;
+use tokio::task::{AbortHandle, JoinHandle};
 use tokio::time::{sleep_until, timeout, Instant};
 
 use super::buffers::{self, write_all, Chain, Pool, Room};
@@ -55,6 +58,8 @@
 const STILL_NAMED: Duration = Duration::from_secs(2);
 /// Time between warnings of one kind.
 const WARN_EVERY: Duration = Duration::from_secs(10);
+/// Time in which the last errors of a process whose time is up are written.
+const LAST_WORD: Duration = Duration::from_millis(50);
 const BACKLOG: u32 = 1024;
 /// The longest message that must come as a whole within [`MESSAGE_WITHIN`]; of a longer one, some more must.
 const WITHIN_MOST: usize = 144 * 1024;
@@ -110,13 +115,16 @@
     /// Takes over those that stand between requests, once the door is closed.
     successor: RefCell<Option<Successor>>,
     /// Those that have asked nothing yet, and those that stand between requests, each with since when.
-    silent: Standing,
-    idle: Standing,
+    silent: Since,
+    idle: Since,
     /// Clients turned away since the last warning, and when that was.
     turned_away: Cell<(u64, Option<Instant>)>,
     /// Ids of the requests that are open.
     ids: RefCell<HashSet<String>>,
-    left: Notify,
+    /// How this process ends, once it was told to.
+    farewell: RefCell<Option<Farewell>>,
+    /// Something has happened that may bring that end closer.
+    nearer: Notify,
     door: watch::Sender<Door>,
     /// How often the door was moved by the operators.
     moved: Cell<u64>,
@@ -131,12 +139,16 @@
     Announced,
     /// Connections end as soon as they stand between requests, and new ones at once.
     SentAway,
-    /// The same for good, and nobody listens.
+    /// For good: connections end as their [`Farewell`] has it, and new ones are taken for a request.
+    Leaving,
+    /// The same, and nobody listens.
     Closed,
+    /// The time is up.
+    Ended,
 }
 
 /// Since when connections have stood without an open request, and their numbers.
-type Standing = RefCell<BTreeSet<(Instant, u64)>>;
+type Since = RefCell<BTreeSet<(Instant, u64)>>;
 
 /// The side of the clients.
 #[derive(Clone)]
@@ -175,37 +187,93 @@
             idle: RefCell::default(),
             turned_away: Cell::new((0, None)),
             ids: RefCell::default(),
-            left: Notify::new(),
+            farewell: RefCell::default(),
+            nearer: Notify::new(),
             door: watch::Sender::new(Door::Open),
             moved: Cell::new(0),
         }))
     }
 
-    /// Takes in clients until [`Self::close`]. Must run inside a [`tokio::task::LocalSet`].
-    pub async fn run(&self, listener: TcpListener) {
+    /// Takes in clients until the farewell closes the door. `holds` is a task that has a copy of the listener for
+    /// successors; while it has, the queue goes on. Must run inside a [`tokio::task::LocalSet`].
+    pub async fn run(&self, listener: TcpListener, holds: Option<JoinHandle<()>>) {
         let mut door = self.0.door.subscribe();
         let mut sweep = tokio::time::interval(SWEEP_EVERY);
         loop {
             tokio::select! {
                 _ = sweep.tick() => while self.is_crowded() && self.0.make_room() {},
                 accepted = listener.accept() => self.admit(accepted).await,
-                _ = door.wait_for(|door| *door == Door::Closed) => break,
+                _ = door.wait_for(|door| *door >= Door::Closed) => break,
             }
         }
-        // Who stands in the queue has been accepted by this machine: it is taken in before the queue goes,
-        // unless a successor has the same queue.
-        while !self.has_successor() {
+        // A successor has the same queue.
+        if !self.has_successor() {
+            if let Some(holds) = holds {
+                holds.abort();
+                let _ = holds.await;
+            }
+            if let Err(e) = self.take_queue(listener).await {
+                log::warn!("the queue could not be taken in: {e}");
+            }
+        }
+        if let Some(farewell) = &mut *self.0.farewell.borrow_mut() {
+            farewell.shut();
+        }
+        self.0.nearer.notify_waiters();
+    }
+
+    /// Closes the door behind all that stands in its queue: they have been accepted by this machine. Asks the system
+    /// and not the runtime, which knows only what it heard when it last waited.
+    async fn take_queue(&self, listener: TcpListener) -> io::Result<()> {
+        let queue = listener.into_std()?;
+        loop {
+            match queue.accept() {
+                Ok((stream, from)) => {
+                    stream.set_nonblocking(true)?;
+                    self.admit(TcpStream::from_std(stream).map(|stream| (stream, from))).await;
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    /// Lets all clients go, as the end of the process wants it. Returns once nothing is owed any more, or the time is
+    /// up; then whatever is still open ends with an error.
+    pub async fn farewell(&self) {
+        let side = &*self.0;
+        let clock = side.exchange.clock();
+        let connected = side.connected.borrow().len();
+        side.farewell.replace(Some(Farewell::new(clock.now(), side.exchange.longest(), connected)));
+        loop {
+            let mut nearer = std::pin::pin!(side.nearer.notified());
+            nearer.as_mut().enable();
+            let now = clock.now();
+            let (phase, next) = {
+                let mut farewell = side.farewell.borrow_mut();
+                let farewell = farewell.as_mut().expect("it was just begun, and none takes it");
+                farewell.set_handed(self.has_successor());
+                (farewell.phase(now), farewell.next(now))
+            };
+            match phase {
+                Phase::Notice => {}
+                Phase::Leaving => self.shut_to(Door::Leaving),
+                Phase::Closing => self.shut_to(Door::Closed),
+                Phase::Ended => break,
+            }
             tokio::select! {
-                biased;
-                accepted = listener.accept() => self.admit(accepted).await,
-                () = std::future::ready(()) => return,
+                () = nearer => {}
+                () = sleep_until(clock.instant(next)) => {}
             }
         }
+        self.shut_to(Door::Ended);
+        let _ = timeout(LAST_WORD, self.gone()).await;
     }
 
-    /// Stops taking in clients, and closes connections as soon as they stand between requests.
-    pub fn close(&self) {
-        self.0.door.send_replace(Door::Closed);
+    /// Moves the door for good, and never back.
+    fn shut_to(&self, to: Door) {
+        self.0.door.send_if_modified(|door| *door < to && std::mem::replace(door, to) != to);
     }
 
     /// Takes new settings, whose classes go by these names, for requests that come from now on.
@@ -252,13 +320,13 @@
 
     fn move_door(&self, to: Door) {
         self.0.moved.set(self.0.moved.get() + 1);
-        self.0.door.send_if_modified(|door| *door != Door::Closed && std::mem::replace(door, to) != to);
+        self.0.door.send_if_modified(|door| *door < Door::Leaving && std::mem::replace(door, to) != to);
     }
 
     /// Waits until all clients are gone.
-    pub async fn gone(&self) {
+    async fn gone(&self) {
         while !self.0.connected.borrow().is_empty() {
-            self.0.left.notified().await;
+            self.0.nearer.notified().await;
         }
     }
 
@@ -297,20 +365,23 @@
         let task = tokio::task::spawn_local(async move {
             let side = &*place.0;
             let inbound = side.pool.chain();
-            let (room, asked, leaves) = (None, false, false);
-            let mut client = Client { inbound, side, number, stream, stage, room, asked, leaves };
+            let (came, room, asked, leaves) = (side.exchange.clock().now(), None, false, false);
+            let mut client = Client { inbound, side, number, came, stream, stage, room, asked, leaves };
             if let Err(e) = client.serve().await {
                 return log::debug!("client connection: {e}");
             }
             let Client { stream, stage, leaves: true, .. } = client else { return };
             let successor = side.successor.borrow().clone();
-            let Some(successor) = successor.filter(|_| *side.door.borrow() == Door::Closed) else { return };
+            let Some(successor) = successor.filter(|_| *side.door.borrow() >= Door::Closed) else { return };
             match successor.take(stream, stage == Stage::Started).await {
                 Ok(()) => side.limit.set(side.limit.get().map(|limit| limit.saturating_sub(1))),
                 Err(e) => log::debug!("client connection: can't be handed over: {e}"),
             }
         });
         side.connected.borrow_mut().insert(number, task.abort_handle());
+        if let Some(farewell) = &mut *side.farewell.borrow_mut() {
+            farewell.came();
+        }
         side.share_sockets();
     }
 
@@ -340,6 +411,7 @@
     /// Who takes over connections once the door is closed.
     pub fn set_successor(&self, successor: Option<Successor>) {
         self.0.successor.replace(successor);
+        self.0.nearer.notify_waiters();
     }
 
     /// Whether there is one.
@@ -353,7 +425,7 @@
     /// asked nothing yet, else one between requests. Guards against clients that connect and stay, and keep
     /// out those that have something to ask.
     fn make_room(&self) -> bool {
-        let longest = |standing: &Standing| {
+        let longest = |standing: &Since| {
             let first = standing.borrow().first().copied();
             let first = first.filter(|(since, _)| since.elapsed() >= STANDS_LEAST)?;
             standing.borrow_mut().remove(&first);
@@ -375,6 +447,33 @@
         }
     }
 
+    /// Waits until a connection may end that stands so and came at `came`.
+    async fn lets_go(&self, standing: Standing, stage: Stage, came: Duration) {
+        let mut door = self.door.subscribe();
+        loop {
+            let now = *door.borrow_and_update();
+            let until = match (&*self.farewell.borrow(), stage) {
+                (Some(farewell), _) if now >= Door::Leaving => farewell.stands_until(standing, came),
+                // Who connects while clients are sent away is told so; its startup may be on its way.
+                (_, Stage::Started) if now == Door::SentAway => return,
+                _ => None,
+            };
+            let until = until.map(|at| self.exchange.clock().instant(at));
+            tokio::select! {
+                () = sleep_until(until.unwrap_or_else(Instant::now)), if until.is_some() => return,
+                moved = door.changed() => if moved.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+
+    /// How much of its time a request may take that comes now.
+    fn time_left(&self, wanted: Duration) -> Duration {
+        let farewell = self.farewell.borrow();
+        farewell.as_ref().map_or(wanted, |farewell| farewell.time_left(self.exchange.clock().now(), wanted))
+    }
+
     /// Warns of a client that is turned away, not more often than whoever reads the log can bear.
     fn warn_full(&self) {
         let (before, warned) = self.turned_away.get();
@@ -400,15 +499,18 @@
     fn drop(&mut self) {
         self.0.connected.borrow_mut().remove(&self.1);
         self.0.share_sockets();
-        self.0.left.notify_waiters();
+        if let Some(farewell) = &mut *self.0.farewell.borrow_mut() {
+            farewell.left(self.0.exchange.clock().now());
+        }
+        self.0.nearer.notify_waiters();
     }
 }
 
 /// A connection's entry among those that stand, for as long as it does.
-struct Stands<'s>(&'s Standing, (Instant, u64));
+struct Stands<'s>(&'s Since, (Instant, u64));
 
 impl<'s> Stands<'s> {
-    fn new(standing: &'s Standing, number: u64) -> Self {
+    fn new(standing: &'s Since, number: u64) -> Self {
         let entry = (Instant::now(), number);
         standing.borrow_mut().insert(entry);
         Self(standing, entry)
@@ -433,6 +535,8 @@
 struct Client<'s> {
     side: &'s Side,
     number: u64,
+    /// When it came, on the exchange's clock.
+    came: Duration,
     stream: TcpStream,
     inbound: Chain,
     stage: Stage,
@@ -498,21 +602,29 @@
         Ok(())
     }
 
-    /// Reads on, but not past `late`; false when the client is gone, or when nothing was begun and the door stands at
-    /// `ends` or further. Guards against half a message that keeps its place for good.
-    async fn more(&mut self, late: Option<Instant>, ends: Door) -> io::Result<bool> {
-        let mut door = self.side.door.subscribe();
-        let between = self.inbound.is_empty();
+    /// Reads on, but not past `late`; false when the client is gone, or when it is let go. Guards against half a
+    /// message that keeps its place for good.
+    async fn more(&mut self, late: Option<Instant>) -> io::Result<bool> {
+        let standing = match self.stage {
+            _ if !self.inbound.is_empty() => Standing::Begun,
+            Stage::Started if self.asked => Standing::Between,
+            _ => Standing::Silent,
+        };
         tokio::select! {
             biased;
             read = self.inbound.fill(&self.stream) => return Ok(read? > 0),
-            _ = door.wait_for(|door| *door >= ends), if between => {
+            () = self.side.lets_go(standing, self.stage, self.came), if standing != Standing::Begun => {
+                // What the system has and the runtime has not heard of is served like all that was read.
+                let unread = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+                if unread.is_ok_and(|n| n > 0) {
+                    return Ok(self.inbound.fill(&self.stream).await? > 0);
+                }
                 self.leaves = true;
                 return Ok(false);
             }
             () = sleep_until(late.unwrap_or_else(Instant::now)), if late.is_some() => {}
         }
-        if !between {
+        if standing == Standing::Begun {
             self.expel("08P01", "a message was not complete in time").await?;
         }
         Ok(false)
@@ -529,8 +641,7 @@
                 // Who is slow is not silent.
                 let silent = self.inbound.is_empty();
                 let _stands = silent.then(|| Stands::new(&self.side.silent, self.number));
-                // Who connects while clients are sent away is told so; its startup may be on its way.
-                if !self.more(late, Door::Closed).await? {
+                if !self.more(late).await? {
                     return Ok(Flow::End);
                 }
                 continue;
@@ -584,7 +695,7 @@
             if !between && (late.is_none() || long) {
                 late = Some((Instant::now() + MESSAGE_WITHIN).min(begun + LONGEST_MESSAGE));
             }
-            if !self.more(late, Door::SentAway).await? {
+            if !self.more(late).await? {
                 return Ok(None);
             }
         }
@@ -654,7 +765,8 @@
         let call = Call {
             class: id,
             group: GroupId(statement.group),
-            time_left: statement.wait.min(class.deadline), // no client waits longer over all its tries
+            // No client waits longer over all its tries, and no request outlasts the process.
+            time_left: self.side.time_left(statement.wait.min(class.deadline)),
             retry: statement.retry,
             bytes: message.len() as u64,
             session: matches!(class.need, Need::Write | Need::Causal).then_some(statement.key),
@@ -663,11 +775,16 @@
         self.asked = true;
         let (request, mut answer) =
             self.side.exchange.open(call, Query { message, wait_at, room: self.room.take() });
+        let mut door = self.side.door.subscribe();
         let answer = loop {
             let room = self.inbound.len() < buffers::SIZE;
             tokio::select! {
                 biased;
                 answer = &mut answer => break answer,
+                _ = door.wait_for(|door| *door == Door::Ended) => {
+                    self.side.exchange.left(request);
+                    return self.expel("57P01", "the proxy is shutting down").await;
+                }
                 // What a client sends ahead is kept; its end tells that it is gone.
                 read = self.inbound.fill(&self.stream), if room => if !read.is_ok_and(|n| n > 0) {
                     self.side.exchange.left(request);
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -56,7 +56,7 @@
     }
 
     /// The instant of a time on this clock.
-    fn instant(&self, time: Duration) -> Instant {
+    pub(super) fn instant(&self, time: Duration) -> Instant {
         self.start + time.saturating_sub(BEFORE_START)
     }
 }
