--- a/peers/src/program.rs
+++ b/peers/src/program.rs
@@ -70,6 +70,25 @@
         done
     }
 
+    /// Tells the process to end.
+    pub fn tell_to_end(&self) -> io::Result<()> {
+        signal(&self.child, "TERM")
+    }
+
+    /// Waits until it has ended; whether that was with success.
+    pub fn ended(&mut self) -> io::Result<bool> {
+        ended(&mut self.child)?;
+        Ok(self.child.wait()?.success())
+    }
+
+    /// Starts the program again where it was, after it has ended.
+    pub fn start_again(&mut self) -> io::Result<()> {
+        self.ops = free_address()?;
+        self.child = spawn(&self.program, &self.config, &self.folder, self.ops, self.started)?;
+        self.started += 1;
+        self.ready()
+    }
+
     /// Whether the process that serves still runs.
     pub fn runs(&mut self) -> bool {
         matches!(self.child.try_wait(), Ok(None))
