--- a/core/src/decide.rs
+++ b/core/src/decide.rs
@@ -15,6 +15,7 @@
 use crate::failover::*;
 use crate::interface::*;
 use crate::pace::Pace;
+use crate::relief::Relief;
 use crate::scout::{self, scout};
 use crate::state::*;
 use crate::subscription::Subscription;
@@ -76,6 +77,7 @@
     retries: f64,
     crowd: bool, // the floors of all gateways' windows together are more than a server should hold
     pace: Pace,
+    relief: Relief,
     in_time: Gauge,
     refused: Gauge,
     lost: Gauge,        // share of attempts that ended without an answer
@@ -96,6 +98,7 @@
             subscription: Subscription::default(),
             retries: (RETRY_BURST / f64::from(settings.gateways)).max(1.0),
             pace: Pace::new(settings.gateways),
+            relief: Relief::default(),
             lost: Gauge::default(),
             refused: Gauge::default(),
             in_time: Gauge::default(),
@@ -263,17 +266,34 @@
         let deadline = now + secs(request.time_left);
         let aim = (now + secs(class.aim)).min(deadline);
         let (id, group, place) = (request.id, request.group, request.class);
-        let shed = class.need != Need::Write && !self.admits(place, group);
+        let read = class.need != Need::Write;
+        let shed = read && !self.admits(place, group);
         self.groups.entry(group).or_default();
         self.pending.insert(
             id,
             Pending::new(request, now, aim, deadline, token, over_share, self.cfg.limits.attempts),
         );
-        if shed && !self.has_calm(id) {
+        if (shed && !self.has_calm(id)) || (read && self.crowd && self.is_placeless(id)) {
             self.finish(id, None, actions);
         }
     }
 
+    /// Whether the primary of a read's set has room for it beside the writes of all gateways.
+    fn spares(&self, p: &Pending) -> bool {
+        let class = &self.cfg.classes[p.request.class.0];
+        let late = self.groups.get(&p.request.group).map(|g| &g.late);
+        late.is_none_or(|late| self.relief.spares(late, self.now, class, &self.cfg.classes, &MEMORY))
+    }
+
+    /// Whether only the primary could serve a read that has come, and has no room for it: best said at once.
+    fn is_placeless(&self, id: RequestId) -> bool {
+        let Some(p) = self.pending.get(&id) else { return false };
+        let known = self.groups.get(&p.request.group).and_then(|g| g.set.primary());
+        let Some(primary) = known.filter(|_| !self.spares(p)) else { return false };
+        let required = self.required(p);
+        !self.members(p.request.group).any(|(i, s)| i != primary && !s.closed() && s.position >= required)
+    }
+
     /// Whether a replica that is fresh enough for a read, and was not slow, has room for it.
     fn has_calm(&self, id: RequestId) -> bool {
         let Some(p) = self.pending.get(&id) else { return false };
@@ -395,6 +415,11 @@
         let blamed = self.blames(request, outcome);
         let end = End { outcome, took, blamed, primary: role == Some(true) };
         self.learn_server(id, flight, &end, actions);
+        let set = self.servers.get(&id).and_then(|s| self.groups.get_mut(&s.group));
+        if let Some(group) = set.filter(|g| g.set.primary() == Some(id)) {
+            let class = &self.cfg.classes[flight.class.0];
+            self.relief.ended(&mut group.late, now, class, took, outcome, &MEMORY);
+        }
         let warm = |s: &&Server| outcome == Outcome::Ok && s.cold(now, &self.cfg.contract) >= 1.0;
         if let Some(group) = self.servers.get(&id).filter(warm).map(|s| s.group) {
             self.pace.answered(self.whole(group) == Some(id));
@@ -539,8 +564,12 @@
         } else if lost {
             // Speaks against its server the more, the rarer such ends are. Guards against dead, hung and
             // cut off servers where few requests tell, and against blaming one for what ails all. A broken
-            // connection alone condemns none, nor an attempt whose server has answered others since.
-            let weak = outcome == Outcome::Reset || server.heard > flight.sent;
+            // connection alone condemns none, nor an attempt whose server has answered others since, nor a
+            // late answer of a primary, which all gateways crowd and whose silence is watched.
+            let set = self.groups.get(&server.group).map(|g| &g.set).filter(|_| self.crowd);
+            let steady = set.is_some_and(|s| s.primary() == Some(id) && s.phase() == Phase::Steady);
+            let crowded = steady && outcome == Outcome::Timeout;
+            let weak = outcome == Outcome::Reset || server.heard > flight.sent || crowded;
             let weight = if weak { WEAK_EVIDENCE } else { 1.0 };
             server.doubt += weight * (1.0 / common).ln();
             if let Some(down) = &mut server.down {
@@ -871,7 +900,7 @@
         let turn = group.writes_waiting == 0 || (chosen.is_none() && group.set.is_reads_turn());
         let primary = up.iter().find(|(i, _)| primary == Some(*i) && !pauses).filter(|(_, s)| {
             let most = (s.window.max * (1.0 - WRITE_SHARE)).max(1.0);
-            let spare = !self.crowd || s.slowness_at(now) < SPILL;
+            let spare = !self.crowd || (s.slowness_at(now) < SPILL && self.spares(p));
             spare && s.has_room(now) && turn && s.in_flight < most
         });
         let warm = |s: &Server| s.cold(now, &self.cfg.contract) >= 1.0; // the cold warm up by work
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod farewell;
 pub mod interface;
 mod pace;
+mod relief;
 mod scout;
 mod state;
 mod subscription;
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -68,6 +68,8 @@
     /// How many of its reads of late were answered in time, and the share of reads that is turned away.
     pub in_time: Gauge,
     pub shed: f64,
+    /// Share of its primary's answers that came late.
+    pub late: Gauge,
     /// In id order.
     pub members: Vec<ServerId>,
     /// Who its primary is, and the change that is under way.
