--- a/core/src/relief.rs
+++ b/core/src/relief.rs
@@ -12,7 +12,7 @@
 
 /// Part of a class's aim within which an answer shows that there was room: what waits behind it takes its time as well,
 /// and what one gateway sends next all others do.
-const AMPLE: f64 = 0.35;
+const AMPLE: f64 = 0.5;
 /// Of all primaries together, far more answers come than of one: some 50 tell, over 2 s, and 5 of no late answer
 /// stand in for what has not been seen.
 const ALL: Memory = Memory { most: 50.0, fade: 2.0, prior: 5.0 };
