Start a trial's program again where another process took its address first

Seen: all_sets_at_once failed once in a run of all tests ("the program did not become ready"); the program's log says "can't listen at 127.0.0.1:46515: Address already in use": between the choice of a free port and its use another test's client had got it.

--- a/peers/src/program.rs
+++ b/peers/src/program.rs
@@ -13,6 +13,8 @@
 
 /// Time within which a process must be ready, and within which one that was told to end must have ended.
 const PATIENCE: Duration = Duration::from_secs(20);
+/// Starts that may fail because another process took an address first.
+const TRIES: u32 = 5;
 
 /// Where a program is, and what it serves.
 pub struct Program {
@@ -36,19 +38,30 @@
     /// `LISTEN` in place of its address.
     pub fn start(program: &Path, folder: &Path, config: &str) -> io::Result<Self> {
         std::fs::create_dir_all(folder)?;
-        let (address, ops) = (free_address()?, free_address()?);
         let path = folder.join("config.json");
-        std::fs::write(&path, config.replace("LISTEN", &address.to_string()))?;
-        let (program, folder) = (program.to_owned(), folder.to_owned());
-        let child = spawn(&program, &path, &folder, ops, 0)?;
-        let started = Self { program, config: path, folder, child, address, ops, started: 1 };
-        started.ready()?;
-        Ok(started)
+        let mut tries = 1;
+        loop {
+            let (address, ops) = (free_address()?, free_address()?);
+            std::fs::write(&path, config.replace("LISTEN", &address.to_string()))?;
+            let (program, folder, config) = (program.to_owned(), folder.to_owned(), path.clone());
+            let child = spawn(&program, &config, &folder, ops, 0)?;
+            let mut started = Self { program, config, folder, child, address, ops, started: 1 };
+            match started.ready() {
+                Err(e) if e.kind() == io::ErrorKind::AddrInUse && tries < TRIES => tries += 1,
+                done => return done.map(|()| started),
+            }
+        }
     }
 
-    fn ready(&self) -> io::Result<()> {
+    fn ready(&mut self) -> io::Result<()> {
         let since = Instant::now();
         while !matches!(call(self.ops, "GET /control/ready"), Ok(200)) {
+            if self.child.try_wait()?.is_some() {
+                return Err(io::Error::new(
+                    io::ErrorKind::AddrInUse,
+                    "the program ended before it was ready",
+                ));
+            }
             if since.elapsed() > PATIENCE {
                 return Err(io::Error::new(io::ErrorKind::TimedOut, "the program did not become ready"));
             }
@@ -83,10 +96,16 @@
 
     /// Starts the program again where it was, after it has ended.
     pub fn start_again(&mut self) -> io::Result<()> {
-        self.ops = free_address()?;
-        self.child = spawn(&self.program, &self.config, &self.folder, self.ops, self.started)?;
-        self.started += 1;
-        self.ready()
+        let mut tries = 1;
+        loop {
+            self.ops = free_address()?;
+            self.child = spawn(&self.program, &self.config, &self.folder, self.ops, self.started)?;
+            self.started += 1;
+            match self.ready() {
+                Err(e) if e.kind() == io::ErrorKind::AddrInUse && tries < TRIES => tries += 1,
+                done => return done,
+            }
+        }
     }
 
     /// Whether the process that serves still runs.
