--- a/peers/src/program.rs
+++ b/peers/src/program.rs
@@ -39,18 +39,14 @@
     pub fn start(program: &Path, folder: &Path, config: &str) -> io::Result<Self> {
         std::fs::create_dir_all(folder)?;
         let path = folder.join("config.json");
-        let mut tries = 1;
-        loop {
+        until_unhindered(|| {
             let (address, ops) = (free_address()?, free_address()?);
             std::fs::write(&path, config.replace("LISTEN", &address.to_string()))?;
             let (program, folder, config) = (program.to_owned(), folder.to_owned(), path.clone());
             let child = spawn(&program, &config, &folder, ops, 0)?;
             let mut started = Self { program, config, folder, child, address, ops, started: 1 };
-            match started.ready() {
-                Err(e) if e.kind() == io::ErrorKind::AddrInUse && tries < TRIES => tries += 1,
-                done => return done.map(|()| started),
-            }
-        }
+            started.ready().map(|()| started)
+        })
     }
 
     fn ready(&mut self) -> io::Result<()> {
@@ -96,16 +92,12 @@
 
     /// Starts the program again where it was, after it has ended.
     pub fn start_again(&mut self) -> io::Result<()> {
-        let mut tries = 1;
-        loop {
+        until_unhindered(|| {
             self.ops = free_address()?;
             self.child = spawn(&self.program, &self.config, &self.folder, self.ops, self.started)?;
             self.started += 1;
-            match self.ready() {
-                Err(e) if e.kind() == io::ErrorKind::AddrInUse && tries < TRIES => tries += 1,
-                done => return done,
-            }
-        }
+            self.ready()
+        })
     }
 
     /// Whether the process that serves still runs.
@@ -114,6 +106,17 @@
     }
 }
 
+/// Starts something, anew where another process took its address first.
+fn until_unhindered<T>(mut start: impl FnMut() -> io::Result<T>) -> io::Result<T> {
+    let mut tries = 1;
+    loop {
+        match start() {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && tries < TRIES => tries += 1,
+            done => return done,
+        }
+    }
+}
+
 impl Drop for Program {
     fn drop(&mut self) {
         let _ = self.child.kill();
