--- a/core/src/decide.rs
+++ b/core/src/decide.rs
@@ -16,7 +16,8 @@
 use crate::interface::*;
 use crate::pace::Pace;
 use crate::relief::Relief;
-use crate::scout::{self, scout};
+use crate::scout::*;
+use crate::sessions::Sessions;
 use crate::state::*;
 use crate::subscription::Subscription;
 use crate::window::{Window, WINDOW_LEAST, WINDOW_START};
@@ -50,8 +51,6 @@
 const STOOD_LEAST: f64 = 0.1; // s past its timer after which a gateway is taken to have stood still
 const REFUSED_SHARE: f64 = 0.1; // of attempts, over which connections are taken to be short
 const GHOST_MOST: f64 = 2.0; // s that an attempt given up on keeps its place
-const ASK_WAIT: f64 = 0.03; // s that a read waits for the position of a replica that was asked
-const TRIAL_FIRST: f64 = 0.3; // s until a server that is down gets a trial
 const TRIAL_MOST: f64 = 2.0; // s between later trials
 const PLACED_WITHIN: f64 = 0.49; // of a read's time, after which it is given up where no server takes it
 const RETRY_SHARE: f64 = 0.2; // further attempts for each request, after which only the first is made
@@ -61,19 +60,19 @@
 
 /// One gateway: fed with events, it answers with actions.
 pub struct Gateway {
-    cfg: Settings,
+    pub(crate) cfg: Settings,
     rng: Pcg64Mcg,
     clock: Clock,
     subscription: Subscription,
-    now: f64,
-    servers: BTreeMap<ServerId, Server>,
+    pub(crate) now: f64,
+    pub(crate) servers: BTreeMap<ServerId, Server>,
     out_by_hand: BTreeSet<ServerId>,
-    groups: BTreeMap<GroupId, Group>,
+    pub(crate) groups: BTreeMap<GroupId, Group>,
     pending: BTreeMap<RequestId, Pending>,
     flights: BTreeMap<(RequestId, u32), Flight>,
     times: Vec<ClassTime>,
     meters: Vec<Meter>,
-    sessions: BTreeMap<String, f64>,
+    pub(crate) sessions: Sessions,
     retries: f64,
     crowd: bool, // the floors of all gateways' windows together are more than a server should hold
     pace: Pace,
@@ -110,7 +109,7 @@
             forecast: Forecast::default(),
             pending: BTreeMap::new(),
             flights: BTreeMap::new(),
-            sessions: BTreeMap::new(),
+            sessions: Sessions::default(),
             now: 0.0,
         })
     }
@@ -120,6 +119,7 @@
         let late = self.clock.timer.map_or(0.0, |t| secs(now) - t);
         self.clock.stood = if late > STOOD_LEAST { late } else { 0.0 };
         self.now = self.now.max(secs(now));
+        self.sessions.begin(self.now);
         events.into_iter().for_each(|event| self.learn(event, out));
         self.follow_list(out);
         self.judge(out);
@@ -128,12 +128,6 @@
         self.wake(out);
     }
 
-    /// What another process of this proxy must know of a server's group.
-    pub fn news(&self, id: ServerId) -> Option<News> {
-        let group = self.groups.get(&self.servers.get(&id)?.group)?;
-        Some(group.set.news(id, self.now))
-    }
-
     fn learn(&mut self, event: Event, actions: &mut Vec<Action>) {
         match event {
             Event::View(view) => self.learn_view(view),
@@ -146,10 +140,8 @@
                 self.pending.entry(request).and_modify(|p| p.streaming = true);
             }
             Event::Probed { server, ok, report } => self.learn_probe(server, ok, report),
-            Event::Recalled { server, news } => {
-                let set = self.servers.get(&server).and_then(|s| self.groups.get_mut(&s.group));
-                set.into_iter().for_each(|g| g.set.recall(server, &news, self.now));
-            }
+            Event::Inherited(heritage) => self.inherit(*heritage),
+            Event::Told(word) => self.learn_word(word),
             Event::Timer(TimerId(id)) => {
                 self.clock.timer = self.clock.timer.filter(|_| id != self.clock.timers)
             }
@@ -248,10 +240,9 @@
         if self.pending.contains_key(&request.id) {
             return;
         }
-        let kept = || request.session.as_ref().and_then(|s| self.sessions.get(s)).copied();
         let token = match (class.need, self.cfg.session_marks) {
             (Need::Causal, SessionMarks::Brought) => request.wrote_ago.map_or(0.0, |ago| now - secs(ago)),
-            (Need::Causal, SessionMarks::Kept) => kept().unwrap_or(0.0),
+            (Need::Causal, SessionMarks::Kept) => self.sessions.required(request.session.as_deref(), now),
             (Need::Strong, _) => now,
             _ => 0.0,
         };
@@ -366,11 +357,19 @@
     }
 
     /// Takes a server's word on where it stands. `at` is when that was true, `sent` when it was asked.
-    fn learn_stand(&mut self, id: ServerId, at: f64, sent: Option<f64>, note: (Option<f64>, Option<bool>)) {
+    pub(crate) fn learn_stand(
+        &mut self,
+        id: ServerId,
+        at: f64,
+        sent: Option<f64>,
+        note: (Option<f64>, Option<bool>),
+    ) {
         let Some(server) = self.servers.get_mut(&id) else { return };
         let set = &mut self.groups.entry(server.group).or_default().set;
         let role = note.1.filter(|primary| !(*primary && server.closed()));
         set.heard(id, role, at, sent, self.now, &mut self.forecast);
+        // What one said of itself while it took itself for the primary may never have been true.
+        let anew = role == Some(false) && server.replica_at.is_none();
         if role == Some(true) && set.primary() == Some(id) {
             server.replica_at = None;
         } else if role == Some(false) && set.primary() != Some(id) {
@@ -378,7 +377,7 @@
         }
         // One that was deposed and does not know takes itself to be at the present, and is not.
         if let Some(position) = note.0.filter(|_| !set.is_deposed(id)) {
-            server.position = server.position.max(position);
+            server.position = if anew { position } else { server.position.max(position) };
             if at >= server.heard {
                 (server.heard, server.lag) = (at, (at - position).max(0.0));
             }
@@ -430,6 +429,10 @@
             self.learn_stand(id, now, Some(flight.sent), (note.position.map(secs), role));
         }
         self.learn_report(id, report);
+        let wrote = flight.session.as_ref().filter(|_| outcome == Outcome::Ok);
+        if let Some((session, commit)) = wrote.zip(note.position) {
+            self.sessions.wrote(session.clone(), secs(commit));
+        }
         if need == Need::Write {
             self.learn_write_end(id, flight.sent, outcome == Outcome::Ok, actions);
         }
@@ -446,12 +449,6 @@
         }
         let Some(p) = self.pending.get_mut(&request) else { return };
         p.out = p.out.saturating_sub(1);
-        let kept = self.cfg.session_marks == SessionMarks::Kept;
-        let wrote =
-            p.request.session.clone().filter(|_| kept && need == Need::Write && outcome == Outcome::Ok);
-        if let (Some(session), Some(commit)) = (wrote, note.position) {
-            self.sessions.insert(session, secs(commit));
-        }
         match outcome {
             Outcome::Miss => p.turned_away.push(id),
             _ => p.failed_at = Some(id),
@@ -575,7 +572,7 @@
             if let Some(down) = &mut server.down {
                 down.trial_at = down.trial_at.max(now + down.pause);
             } else if server.doubt > DOUBT_MOST {
-                server.down = Some(Down::new(now, TRIAL_FIRST, outcome != Outcome::Timeout));
+                server.down = Some(Down::soon(now, outcome != Outcome::Timeout));
                 actions.push(Action::Log(format!("server {} gives no answers", id.0)));
             }
         }
@@ -621,7 +618,7 @@
         self.clock.judged = now;
         let told = self.servers.values().filter(|s| !s.closed()).map(|s| s.position);
         let behind = told.fold(f64::INFINITY, f64::min); // what all have passed can't matter any more
-        self.sessions.retain(|_, commit| *commit > behind);
+        self.sessions.passed(behind);
         self.servers.values_mut().for_each(|server| server.refresh(now));
         for flight in self.flights.values() {
             self.servers.entry(flight.server).and_modify(|s| s.oldest = s.oldest.min(flight.sent));
@@ -804,10 +801,10 @@
                 return None;
             }
             let first = p.attempts == 0 && p.most_attempts > 2 && set.phase() == Phase::Steady;
-            let bound = if self.crowd && first { scout::bound(&self.cfg) } else { None };
+            let wanted = Wanted::new(&self.cfg, self.crowd, now).filter(|_| first);
             let replicas = self.members(p.request.group).filter(|m| m.0 != primary);
             let may = |id, s: &Server| !set.is_deposed(id) && s.has_room(now) && self.permitted(p, id, s);
-            let asked = bound.and_then(|bound| scout(replicas, bound, now, may, id.0));
+            let asked = wanted.and_then(|wanted| scout(replicas, wanted, now, may, id.0));
             return Some((asked.unwrap_or(primary), self.timeout(p, server)));
         }
         // No primary: one write at a time asks the members in id order; after a round the next one waits.
@@ -876,24 +873,8 @@
             let ahead = up.iter().filter(|s| replica(s) && s.1.has_room(now) && now - s.1.heard > 1.0);
             chosen = ahead.max_by(|a, b| a.1.position.total_cmp(&b.1.position)).copied();
         }
-        // Where reports alone tell positions, one is asked for, lest all reads end at the primary.
-        let tells = self.cfg.limits.probes && self.cfg.reports != Reports::Silent;
-        if fresh.is_empty() && !guess && self.crowd && tells {
-            let free = |s: &(ServerId, &Server)| !s.1.closed() && s.1.has_room(now);
-            let replicas = self.members(p.request.group).filter(|s| replica(s) && free(s));
-            if replicas.clone().any(|(_, s)| s.probing && now - s.asked < ASK_WAIT) {
-                return None;
-            }
-            let ask: Vec<_> = replicas.map(|(i, _)| i).collect();
-            if !p.asked && !ask.is_empty() {
-                let server = ask[draw % ask.len()];
-                let s = self.servers.get_mut(&server)?;
-                (s.probing, s.asked) = (true, now);
-                self.pending.get_mut(&id)?.asked = true;
-                actions.push(Action::Probe { server });
-                return None;
-            }
-        }
+        let replicas = self.members(p.request.group).filter(|s| replica(s) && s.1.has_room(now));
+        let probing = probe(replicas, &self.cfg, (self.crowd, !fresh.is_empty(), p.asked), now, draw);
         // The primary serves what no replica can, or only far later. Room is kept for writes: of many
         // gateways none sends it reads while it is slow, for the writes of all meet there.
         let pauses = matches!(group.set.phase(), Phase::Suspected { .. });
@@ -906,7 +887,14 @@
         let warm = |s: &Server| s.cold(now, &self.cfg.contract) >= 1.0; // the cold warm up by work
         let far = |s: &Server, c: &Server| warm(c) && SPILL * busy(s) < busy(c);
         let relief = primary.filter(|(_, s)| chosen.is_none_or(|c| far(s, c.1)));
-        canary.or(relief.copied()).or(chosen).map(|(i, s)| (i, self.timeout(p, s)))
+        let choice = canary.or(relief.copied()).or(chosen).map(|(i, s)| (i, self.timeout(p, s)));
+        if let Probing::Ask(server, _) = probing {
+            let s = self.servers.get_mut(&server)?;
+            (s.probing, s.asked) = (true, now);
+            self.pending.get_mut(&id)?.asked = true;
+            actions.push(Action::Probe { server });
+        }
+        choice.filter(|_| !matches!(probing, Probing::Waits | Probing::Ask(_, true)))
     }
 
     /// How long a further request would take there, with the price of another zone.
@@ -950,7 +938,9 @@
         p.fate.sent(p.attempts, to, now);
         let write = self.cfg.classes[p.request.class.0].need == Need::Write;
         self.groups.entry(p.request.group).and_modify(|g| g.set.took_place(to, write, now));
-        let flight = Flight { server: to, class: p.request.class, sent: now, expected };
+        let kept = write && self.cfg.session_marks == SessionMarks::Kept;
+        let session = p.request.session.clone().filter(|_| kept);
+        let flight = Flight { server: to, class: p.request.class, session, sent: now, expected };
         self.flights.insert((id, p.attempts), flight);
         p.attempts += 1;
         p.out += 1;
@@ -1000,7 +990,7 @@
         self.down.is_none() && self.in_flight < self.window.max.floor() && now >= self.hold_until
     }
 
-    fn cold(&self, now: f64, contract: &Contract) -> f64 {
+    pub(crate) fn cold(&self, now: f64, contract: &Contract) -> f64 {
         let Some(started) = self.started else { return 1.0 };
         contract.capacity_after(now - started).max(0.01)
     }
--- a/core/src/interface.rs
+++ b/core/src/interface.rs
@@ -5,7 +5,8 @@
 
 use std::time::Duration;
 
-use crate::failover::{News, Tuning};
+use crate::failover::Tuning;
+use crate::heritage::{Heritage, Word};
 
 macro_rules! id {
     ($(#[$doc:meta])* $name:ident($inner:ty)) => {
@@ -490,13 +491,10 @@
         /// The report that came back.
         report: Option<Report>,
     },
-    /// Another process of this proxy told what it knew of changes of primary, by a server.
-    Recalled {
-        /// The server.
-        server: ServerId,
-        /// What was known there.
-        news: News,
-    },
+    /// Another process of this proxy handed over what it knew.
+    Inherited(Box<Heritage>),
+    /// Another process of this proxy, which serves as well, told something.
+    Told(Word),
     /// A timer came due.
     Timer(TimerId),
     /// The client left.
--- a/core/src/scout.rs
+++ b/core/src/scout.rs
@@ -1,49 +1,113 @@
-//! Scouts: writes that learn on their way how far a replica is.
+//! Asking where a replica stands: by a probe where reports tell it, else by a write on its way.
 //!
-//! Who is no primary turns a write away at once, untouched, and tells where it stands. A gateway that sends a set
-//! little hears of its replicas too seldom to prove any of them fresh, and then all its reads end at the primary, those
-//! of a hundred gateways together. So where no replica is known to be fresh enough for reads with a bound on age, a
-//! write goes to one first. Owns when that is so and to whom it goes. It must never send one where a word is not to
-//! be had at once, for the write waits for it, nor more than one for a write.
+//! A read goes to a replica only if that has told that it is far enough, so one that is never asked anything is of no
+//! use, and tells nothing either. Who is no primary turns a write away at once, untouched, and tells where it stands
+//! (a *scout*); a probe does so where there are load reports. Each replica that has told nothing yet is asked; beyond
+//! that, in a large fleet, one is asked where none is known to be fresh, for there a gateway sends a set so little that
+//! all its reads, and those of a hundred gateways together, would end at the primary.
+//!
+//! Owns when that is so and whom it falls on. It must never ask one where a word is not to be had at once, for the
+//! request waits for it, nor more than one for a request.
 
 use crate::failover::ASK_SILENT;
-use crate::interface::{Need, ServerId, Settings};
+use crate::interface::{Checks, Need, Reports, ServerId, SessionMarks, Settings};
 use crate::state::{secs, Server};
 
 /// Part of the bound on age for which what a replica told must still hold. Of a set that is asked for something each
 /// few seconds, writes are most of what can prove a position anew, and the next may come when it holds no more.
 const HOLDS: f64 = 0.6;
+/// Time in s that a read of a large fleet waits for the position of a replica that was asked.
+const ASK_WAIT: f64 = 0.03;
+/// Time in s after which a replica is asked by a probe again: reports are that old.
+const ASK_AGAIN: f64 = 0.25;
+
+/// Whether probes tell positions.
+fn probes_tell(settings: &Settings) -> bool {
+    settings.limits.probes && settings.reports != Reports::Silent
+}
+
+/// What a write may find out on its way.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct Wanted {
+    /// A replica must have told this position for reads to go anywhere.
+    position: Option<f64>,
+    /// Each replica that has told nothing is asked.
+    each: bool,
+}
 
-/// The shortest age in s that a class of reads bounds its data to, where answers tell positions.
-pub(crate) fn bound(settings: &Settings) -> Option<f64> {
-    let ages = settings.classes.iter().filter_map(|class| match class.need {
-        Need::Bounded(age) => Some(secs(age)),
-        _ => None,
-    });
-    ages.min_by(f64::total_cmp).filter(|_| settings.positions)
+impl Wanted {
+    /// By the settings; `crowd` where many gateways share the servers.
+    pub fn new(settings: &Settings, crowd: bool, now: f64) -> Option<Self> {
+        let ages = settings.classes.iter().filter_map(|class| match class.need {
+            Need::Bounded(age) => Some(secs(age)),
+            _ => None,
+        });
+        let age = ages.min_by(f64::total_cmp).filter(|_| crowd);
+        let position = age.map(|age| now - (1.0 - HOLDS) * age);
+        let kept = settings.session_marks == SessionMarks::Kept && settings.checks == Checks::Silent;
+        let each = kept && !crowd && !probes_tell(settings);
+        let tells = settings.positions && (position.is_some() || each);
+        tells.then_some(Self { position, each })
+    }
 }
 
-/// Which of these replicas a write asks first, if any, where reads may be served from data as old as `bound`. `may`
-/// says whether a write could be sent there; each next `turn` is another one's.
+/// Which of these replicas a write asks first, if any. `may` says whether a write could be sent there; each next `turn`
+/// is another one's.
 pub(crate) fn scout<'s>(
     replicas: impl Iterator<Item = (ServerId, &'s Server)>,
-    bound: f64,
+    wanted: Wanted,
     now: f64,
     may: impl Fn(ServerId, &Server) -> bool,
     turn: u64,
 ) -> Option<ServerId> {
     let mut able = Vec::new();
     for (id, server) in replicas.filter(|(_, server)| server.down.is_none() && !server.closed()) {
-        if server.position >= now - (1.0 - HOLDS) * bound {
+        if wanted.position.is_some_and(|position| server.position >= position) {
             return None;
         }
-        if server.silence(now) < ASK_SILENT && may(id, server) {
+        let asks = wanted.position.is_some() || server.position <= 0.0;
+        if asks && server.silence(now) < ASK_SILENT && may(id, server) {
             able.push(id);
         }
     }
     able.get(turn.checked_rem(able.len() as u64)? as usize).copied()
 }
 
+/// What a read that may go to replicas has asked of them by probes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Probing {
+    /// Nothing is to be asked.
+    Done,
+    /// One was asked a moment ago: the read waits for its word.
+    Waits,
+    /// This one is to be asked, and whether the read waits for its word.
+    Ask(ServerId, bool),
+}
+
+/// Whether a read asks one of these replicas by a probe. `fresh` where the read can go to one of them; `again` where it
+/// has asked already. In a small fleet it goes to the primary meanwhile.
+pub(crate) fn probe<'s>(
+    replicas: impl Iterator<Item = (ServerId, &'s Server)>,
+    settings: &Settings,
+    (crowd, fresh, again): (bool, bool, bool),
+    now: f64,
+    turn: usize,
+) -> Probing {
+    if !probes_tell(settings) || settings.checks != Checks::Silent || (crowd && fresh) {
+        return Probing::Done;
+    }
+    let able: Vec<_> = replicas.filter(|(_, s)| s.down.is_none() && !s.closed()).collect();
+    if crowd && able.iter().any(|(_, s)| s.probing && now - s.asked < ASK_WAIT) {
+        return Probing::Waits;
+    }
+    let asks = |s: &Server| crowd || (now - s.asked >= ASK_AGAIN && (!fresh || s.position <= 0.0));
+    let able: Vec<_> = able.into_iter().filter(|(_, s)| asks(s)).map(|(id, _)| id).collect();
+    match able.get(turn.checked_rem(able.len()).unwrap_or(0)) {
+        Some(id) if !again => Probing::Ask(*id, crowd),
+        _ => Probing::Done,
+    }
+}
+
 #[cfg(test)]
 mod tests {
     use super::*;
@@ -54,7 +118,7 @@
             .map(|position| Server { position: *position, oldest: f64::INFINITY, ..Server::default() })
             .collect();
         let ids = servers.iter().enumerate().map(|(i, s)| (ServerId(i as u32), s));
-        scout(ids, 3.0, 100.0, may, turn)
+        scout(ids, Wanted { position: Some(98.8), each: false }, 100.0, may, turn)
     }
 
     #[test]
--- a/core/src/state.rs
+++ b/core/src/state.rs
@@ -18,9 +18,13 @@
     pub dead: bool,
 }
 
+/// Time in s until a server that is down gets a trial.
+pub(crate) const TRIAL_FIRST: f64 = 0.3;
+
 impl Down {
-    pub fn new(now: f64, pause: f64, dead: bool) -> Self {
-        Self { since: now, trial_at: now + pause, pause, probed: false, dead }
+    /// Its first trial comes soon.
+    pub fn soon(now: f64, dead: bool) -> Self {
+        Self { since: now, trial_at: now + TRIAL_FIRST, pause: TRIAL_FIRST, probed: false, dead }
     }
 }
 
@@ -143,6 +147,8 @@
 pub(crate) struct Flight {
     pub server: ServerId,
     pub class: ClassId,
+    /// Whose write it is, where this proxy keeps marks.
+    pub session: Option<String>,
     pub sent: f64,
     pub expected: f64,
 }
--- a/core/src/window.rs
+++ b/core/src/window.rs
@@ -36,9 +36,14 @@
 impl Window {
     /// `share` is the part of the server's work that comes through this gateway.
     pub fn new(now: f64, share: f64) -> Self {
-        let max = (WINDOW_START * share).clamp(WINDOW_LEAST, WINDOW_START / 2.0);
-        let peaks = vec![max; PEAKS_KEPT];
-        Self { max, peaks, began: now, clean: true, ..Self::default() }
+        Self::of(now, (WINDOW_START * share).clamp(WINDOW_LEAST, WINDOW_START / 2.0))
+    }
+
+    /// A window of this width, as another process had it.
+    pub fn of(now: f64, width: f64) -> Self {
+        let width = if width.is_finite() { width } else { WINDOW_LEAST };
+        let max = width.clamp(WINDOW_LEAST, WINDOW_MOST);
+        Self { max, peaks: vec![max; PEAKS_KEPT], began: now, clean: true, ..Self::default() }
     }
 
     /// `good` if it came within its class's aim: a late answer is no throughput.
--- a/core/tests/failover.rs
+++ b/core/tests/failover.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use pipittack_core::failover::{Change, News, Tuning};
+use pipittack_core::heritage::{Heritage, Stood};
 use pipittack_core::interface::*;
 
 /// A gateway that has heard all members, and whose primary has served some writes.
@@ -164,9 +165,13 @@
             ok: true,
             report: Some(Report { position: Some(b.now), primary: Some(true), ..Report::default() }),
         },
-        Event::Recalled { server: ServerId(1), news },
+        Event::Inherited(Box::new(Heritage {
+            servers: vec![Stood { server: 1, news, ..Stood::default() }],
+            ..Heritage::default()
+        })),
     ]);
-    assert_eq!(b.gateway.news(ServerId(1)).map(|news| (news.epoch, news.deposed)), Some((4, true)));
+    let news = b.gateway.heritage().servers[0].news;
+    assert_eq!((news.epoch, news.deposed), (4, true));
     assert_eq!(targets(&b.call(ONCE)), [2]);
     b.now += ms(10);
     end_at(&mut b, 2, Outcome::Ok, Some(true));
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,7 +22,7 @@
 use pipittack::net::exchange::{Clock, Exchange, Order};
 use pipittack::net::handover::{self, Shares};
 use pipittack::net::ops::{self, Bans, Control};
-use pipittack::net::parcel;
+use pipittack::net::parcel::{self, Greeting};
 use pipittack::net::servers::{self, PgExchange};
 use pipittack::operators::Operators;
 use pipittack::settings::{Config, Env, Malformed, SOCKETS_LEAST};
@@ -161,12 +161,12 @@
         let name = format!("pipittack-{}-{}.{ending}", config.name, config.listen);
         start.state_dir.as_ref().map(|dir| dir.join(name))
     };
-    let path = kept("sock");
-    let heritage = match &path {
-        Some(path) => parcel::inherit(path).await,
-        None => None,
+    let (path, greeting) = (kept("2.sock"), Greeting::of(&config.name));
+    let heritage = match (&path, kept("sock")) {
+        (Some(path), Some(early)) => parcel::inherit(path, &early, &greeting).await,
+        _ => None,
     };
-    let (listener, heritage) = match heritage {
+    let (listener, mut heritage) = match heritage {
         Some((listener, heritage)) => (listener, Some(heritage)),
         None => {
             let listener = clients::listen(config.listen);
@@ -205,7 +205,9 @@
         ready: Cell::new(false),
     });
     control.look();
-    if let Some(known) = config.known.take() {
+    // The process before this one has it from the service, the configuration only as of some earlier time.
+    let handed = heritage.as_mut().and_then(|heritage| heritage.state.as_mut()?.listing.take());
+    if let Some(known) = handed.or(config.known.take()) {
         let (view, addresses) = lister.borrow_mut().read(known, true);
         exchange.listed(view, addresses);
     }
@@ -222,30 +224,28 @@
     }
     let driver = exchange.clone();
     spawn_local(async move { driver.run().await });
-    let shares = Rc::new(Shares { clients: clients.clone(), exchange: exchange.clone(), pool });
+    let shares =
+        Shares { clients: clients.clone(), exchange: exchange.clone(), pool, lister: lister.clone() };
+    let shares = Rc::new(shares);
     let holds = match path {
         Some(path) => {
             let listener = listener.as_fd().try_clone_to_owned().map_err(|e| format!("can't listen: {e}"))?;
-            Some(spawn_local(handover::run(path, listener, shares.clone())))
+            Some(spawn_local(handover::run(path, greeting, listener, shares.clone())))
         }
         None => None,
     };
-    let recalled = heritage.as_ref().map(|heritage| heritage.known.clone());
-    if let Some(heritage) = heritage {
-        clients.set_limit(Some(heritage.clients));
-        shares.divide(true);
-        spawn_local(async move { heritage.follow(&shares).await });
-    }
-    let (door, opened, books) = (clients.clone(), control.clone(), exchange.clone());
+    let (door, opened) = (clients.clone(), control.clone());
     let prepare = async move {
         let _ = timeout(LISTED_WITHIN, opened.listed()).await;
         opened.ready.set(true);
     };
     spawn_local(async move {
         // A successor lets the other process serve until it can do so itself.
-        if let Some(known) = recalled {
+        if let Some(mut heritage) = heritage {
+            heritage.join(&shares);
             prepare.await;
-            books.recall(&known);
+            heritage.recall(&shares);
+            spawn_local(async move { heritage.follow(&shares).await });
         } else {
             spawn_local(prepare);
         }
@@ -276,6 +276,7 @@
     }
     log::info!("told to end; {} requests open", exchange.open_requests());
     clients.farewell().await;
+    exchange.end();
     match exchange.open_requests() {
         0 => {}
         open => log::warn!("ended with {open} requests open"),
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -25,7 +25,7 @@
 use super::exchange::{Ask, Clock};
 use super::servers::PgExchange;
 use crate::interface::*;
-use crate::listing::Listing;
+use crate::listing::{Listing, Target};
 use crate::settings::Names;
 
 /// A line comes every 2 s; without one for so long, the service or the way there is gone. What the service
@@ -35,6 +35,8 @@
 const CONNECT_WITHIN: Duration = Duration::from_secs(1);
 /// Names of servers that are kept after the list has dropped them.
 const PAST_MOST: usize = 4096;
+/// The state of a server that has left the list.
+const GONE: &str = "Gone";
 /// The longest head or line that is read.
 const LINE_MOST: usize = 4 << 20;
 
@@ -43,6 +45,10 @@
     names: Names,
     clock: Clock,
     ids: BTreeMap<ServerId, String>,
+    /// Those that the last news dropped.
+    leaving: Vec<ServerId>,
+    /// The list as it stands, by names.
+    held: BTreeMap<String, Target>,
     /// Names that the list has held, those still in it included.
     past: VecDeque<String>,
     rev: u64,
@@ -58,17 +64,30 @@
 impl Lister {
     /// One that has seen no list yet.
     pub fn new(names: Names, clock: Clock) -> Self {
-        Self { names, clock, ids: BTreeMap::new(), past: VecDeque::new(), rev: 0, live: false }
+        let (ids, held) = (BTreeMap::new(), BTreeMap::new());
+        let (leaving, past) = (Vec::new(), VecDeque::new());
+        Self { names, clock, ids, leaving, held, past, rev: 0, live: false }
     }
 
     /// Reads a listing; `remembered` is for the one of an earlier run.
     pub fn read(&mut self, listing: Listing, remembered: bool) -> Listed {
         self.rev = listing.rev;
         self.live |= !remembered;
+        for id in self.leaving.drain(..) {
+            self.ids.remove(&id);
+        }
         let mut addresses = Vec::new();
         let mut entries = Vec::new();
         let all = listing.all;
+        if all {
+            self.held.clear();
+        }
         for target in listing.targets {
+            if target.state == GONE {
+                self.held.remove(&target.uid);
+            } else {
+                self.held.insert(target.uid.clone(), target.clone());
+            }
             let server = self.id(&target.uid);
             addresses.push((server, target.endpoint));
             entries.push(Entry {
@@ -79,19 +98,18 @@
                 head: target.mode.as_deref() == Some("read-write"),
                 health: match target.state.as_str() {
                     "Ready" => Health::Healthy,
-                    "Gone" => Health::Gone,
+                    GONE => Health::Gone,
                     _ => Health::Draining, // nothing new goes to a server in a state that is not known
                 },
                 rating: target.capacity_hint.unwrap_or(1.0),
                 started: Some(target.boot_ms).filter(|ms| *ms > 0.0).map(|ms| self.clock.of_unix_ms(ms)),
             });
         }
-        // Names of servers that are gone would only pile up.
-        let gone = |e: &&Entry| e.health == Health::Gone;
-        entries.iter().filter(gone).for_each(|e| drop(self.ids.remove(&e.server)));
+        // Names of servers that are gone would only pile up; until the next news they can still be told.
+        self.leaving.extend(entries.iter().filter(|e| e.health == Health::Gone).map(|e| e.server));
         if all {
             let named: BTreeSet<_> = entries.iter().map(|e| e.server).collect();
-            self.ids.retain(|id, _| named.contains(id));
+            self.leaving.extend(self.ids.keys().filter(|id| !named.contains(id)));
         }
         let view = match (remembered, all) {
             (true, _) => View::Remembered(entries),
@@ -106,6 +124,21 @@
         self.names.zone(name)
     }
 
+    /// The list as it stands.
+    pub fn listing(&self) -> Listing {
+        Listing { rev: self.rev, all: true, targets: self.held.values().cloned().collect() }
+    }
+
+    /// The names of the servers in it.
+    pub fn names(&self) -> Vec<(u32, String)> {
+        self.ids.iter().map(|(id, uid)| (id.0, uid.clone())).collect()
+    }
+
+    /// The name of a server, if the list holds it.
+    pub fn name(&self, server: ServerId) -> Option<&str> {
+        self.ids.get(&server).map(String::as_str)
+    }
+
     /// Whether the service itself has told of the list by now.
     pub fn is_live(&self) -> bool {
         self.live
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -13,12 +13,11 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
 
-use pipittack_core::failover::News;
+use pipittack_core::heritage::{Heritage, Word};
 
 use crate::interface::*;
 use crate::Gateway;
@@ -50,8 +49,13 @@
         Duration::try_from_secs_f64((ms - self.zero_ms).max(0.0) / 1e3).unwrap_or(Duration::ZERO)
     }
 
+    /// Its zero in Unix milliseconds.
+    pub fn zero_unix_ms(&self) -> f64 {
+        self.zero_ms
+    }
+
     /// A time on this clock in Unix milliseconds.
-    fn unix_ms(&self, time: Duration) -> f64 {
+    pub(super) fn unix_ms(&self, time: Duration) -> f64 {
         self.zero_ms + time.as_secs_f64() * 1e3
     }
 
@@ -142,16 +146,14 @@
     }
 }
 
-/// Where a server stands, as one process of a proxy tells another.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Stand {
-    server: u32,
-    primary: bool,
-    /// In Unix milliseconds; a primary's is when this was said.
-    position_ms: f64,
-    /// What is known of its set's changes of primary; an earlier build says nothing of it.
-    #[serde(default)]
-    news: News,
+/// The other process of this proxy, while there are two.
+pub trait Twin {
+    /// Tells it a word. What it could not be told counts there as unknown once this returns.
+    fn tell(&self, word: &Word);
+    /// Tells it that there will be nothing more to tell.
+    fn end(&self);
+    /// All that it has told by now.
+    fn hear(&self) -> Vec<Word>;
 }
 
 /// A request as the client side hands it in; its id is given here.
@@ -182,6 +184,8 @@
     attempts: u32,
     /// The limit on them when it was taken.
     most_attempts: u32,
+    /// Whose write it is, where this proxy keeps marks.
+    writes: Option<Rc<str>>,
     done: oneshot::Sender<Final<A>>,
 }
 
@@ -189,6 +193,7 @@
     server: ServerId,
     class: ClassId,
     sent: Duration,
+    writes: Option<Rc<str>>,
 }
 
 struct Books<Q, A> {
@@ -197,6 +202,8 @@
     classes: Vec<Class>,
     /// Attempts at the most, for requests that come now.
     most_attempts: u32,
+    /// This proxy keeps marks of sessions.
+    keeps_marks: bool,
     events: Vec<Event>,
     actions: Vec<Action>,
     open: HashMap<RequestId, Open<Q, A>>,
@@ -244,6 +251,7 @@
     /// A server that the list has dropped may still be sent to.
     keeps_gone: bool,
     books: RefCell<Books<Q, A>>,
+    twin: RefCell<Option<Rc<dyn Twin>>>,
     orders: UnboundedSender<Order<Q>>,
     asks: UnboundedSender<Ask>,
     news: Notify,
@@ -265,6 +273,7 @@
         let books = Books {
             classes: settings.classes.clone(),
             most_attempts: settings.limits.attempts,
+            keeps_marks: settings.session_marks == SessionMarks::Kept,
             gateway: Gateway::new(settings, seed)?,
             events: Vec::new(),
             actions: Vec::new(),
@@ -278,7 +287,8 @@
         };
         let ((orders, to_servers), (asks, to_discovery)) = (unbounded_channel(), unbounded_channel());
         let (books, news) = (RefCell::new(books), Notify::new());
-        let shared = Shared { clock, tick, keeps_gone, books, orders, asks, news };
+        let twin = RefCell::default();
+        let shared = Shared { clock, tick, keeps_gone, books, twin, orders, asks, news };
         Ok((Self(Rc::new(shared)), to_servers, to_discovery))
     }
 
@@ -294,13 +304,17 @@
         let mut books = self.0.books.borrow_mut();
         books.requests += 1;
         let id = RequestId(books.requests);
-        let bound = match books.classes.get(call.class.0).map(|class| class.need) {
+        let need = books.classes.get(call.class.0).map(|class| class.need);
+        let bound = match need {
             Some(Need::Bounded(age)) => Some(age),
             _ => None,
         };
+        let writes = call.session.as_deref().filter(|_| books.keeps_marks && need == Some(Need::Write));
+        let writes = writes.map(Rc::from);
         let deadline = now + call.time_left;
         let (class, query, most_attempts) = (call.class, Rc::new(query), books.most_attempts);
-        let open = Open { query, class, bound, taken: now, deadline, attempts: 0, most_attempts, done };
+        let (taken, attempts) = (now, 0);
+        let open = Open { query, class, bound, taken, deadline, attempts, most_attempts, writes, done };
         books.open.insert(id, open);
         let wrote_ago = call.after_unix_ms.map(|ms| now.saturating_sub(self.0.clock.of_unix_ms(ms)));
         books.events.push(Event::Request(Request {
@@ -335,6 +349,11 @@
         if let Some(note) = ending.note {
             self.heard(out.server, note);
         }
+        // A commit is told before its client can act on it.
+        let commit = ending.note.and_then(|note| note.position).filter(|_| ending.outcome == Outcome::Ok);
+        if let (Some(session), Some(commit), Some(twin)) = (&out.writes, commit, &*self.0.twin.borrow()) {
+            twin.tell(&Word::Wrote { session: session.to_string(), commit: commit.as_secs_f64() });
+        }
         let mut books = self.0.books.borrow_mut();
         // The first answer goes to the client at once, and ends the request.
         if let Some(answer) = ending.answer.filter(|_| ending.outcome == Outcome::Ok) {
@@ -374,32 +393,21 @@
         books.positions.insert(server, note.position.max(known).filter(|_| replica));
     }
 
-    /// Where servers stand, as far as this process has been told.
-    pub fn known(&self) -> Vec<Stand> {
-        let books = self.0.books.borrow();
-        let (now, unix_ms) = (self.0.clock.now(), |at: Duration| self.0.clock.unix_ms(at));
-        let stand = |(server, position): (&ServerId, &Option<Duration>)| {
-            let news = books.gateway.news(*server).unwrap_or_default();
-            // One that was deposed and does not know has said that it is the primary, and stands nobody knows where.
-            let (primary, unknown) =
-                (position.is_none() && !news.deposed, position.is_none() && news.deposed);
-            let position_ms = if unknown { 0.0 } else { unix_ms(position.unwrap_or(now)) };
-            Stand { server: server.0, primary, position_ms, news }
-        };
-        books.positions.iter().map(stand).collect()
-    }
-
-    /// Takes over what another process of this proxy knew of where servers stand.
-    pub fn recall(&self, known: &[Stand]) {
-        for stand in known {
-            let (server, at) = (ServerId(stand.server), self.0.clock.of_unix_ms(stand.position_ms));
-            let position = Some(at.min(self.0.clock.now()));
-            let mut books = self.0.books.borrow_mut();
-            books.positions.entry(server).or_insert(position.filter(|_| !stand.primary));
-            let report = Report { position, primary: Some(stand.primary), ..Report::default() };
-            books.events.push(Event::Probed { server, ok: true, report: Some(report) });
-            books.events.push(Event::Recalled { server, news: stand.news });
+    /// What another process of this proxy must know.
+    pub fn heritage(&self) -> Heritage {
+        self.0.books.borrow().gateway.heritage()
+    }
+
+    /// Takes over what another process of this proxy knew, on a clock of that zero in Unix milliseconds.
+    pub fn inherit(&self, mut heritage: Heritage, zero_unix_ms: f64) {
+        heritage.shift((zero_unix_ms - self.0.clock.zero_unix_ms()) / 1e3);
+        let mut books = self.0.books.borrow_mut();
+        for stood in heritage.servers.iter().filter(|stood| !stood.primary) {
+            let position = stood.position.and_then(|at| Duration::try_from_secs_f64(at).ok());
+            let position = position.filter(|at| *at <= self.0.clock.now());
+            books.positions.entry(ServerId(stood.server)).or_insert(position);
         }
+        books.events.push(Event::Inherited(Box::new(heritage)));
         self.0.news.notify_one();
     }
 
@@ -413,12 +421,48 @@
         for (server, address) in addresses {
             let _ = self.0.orders.send(Order::Address(server, address));
         }
-        self.0.books.borrow_mut().note(&view, self.0.keeps_gone).for_each(|server| {
-            let _ = self.0.orders.send(Order::Forget(server));
-        });
+        let dropped: Vec<_> = self.0.books.borrow_mut().note(&view, self.0.keeps_gone).collect();
+        for server in &dropped {
+            let _ = self.0.orders.send(Order::Forget(*server));
+        }
+        if let (Some(twin), View::Changes(entries) | View::All(entries)) = (&*self.0.twin.borrow(), &view) {
+            let drains = entries.iter().filter(|entry| entry.health != Health::Healthy).map(|e| e.server);
+            drains.chain(dropped).for_each(|server| twin.tell(&Word::Withdrawn(server)));
+        }
         self.tell(Event::View(view));
     }
 
+    /// Another process of this proxy serves as well, and is told what happens here.
+    pub fn join(&self, twin: Rc<dyn Twin>) {
+        self.0.twin.replace(Some(twin));
+        self.0.news.notify_one();
+    }
+
+    /// This process has answered all that it took, and takes nothing more.
+    pub fn end(&self) {
+        if let Some(twin) = &*self.0.twin.borrow() {
+            twin.end();
+        }
+    }
+
+    /// Another process of this proxy serves as well, and what happens there can't be heard.
+    pub fn blind(&self) {
+        self.tell(Event::Told(Word::Blind(true)));
+    }
+
+    /// The other process is gone.
+    pub fn part(&self) {
+        let twin = self.0.twin.take();
+        let words = twin.map(|twin| twin.hear()).unwrap_or_default();
+        self.0.books.borrow_mut().events.extend(words.into_iter().map(Event::Told));
+        self.tell(Event::Told(Word::Blind(false)));
+    }
+
+    /// Has the module stepped.
+    pub fn nudge(&self) {
+        self.0.news.notify_one();
+    }
+
     /// Gives the side of the data servers an order that is no decision.
     pub fn order(&self, order: Order<Q>) {
         let _ = self.0.orders.send(order);
@@ -452,6 +496,7 @@
             ids.push(id);
         }
         books.most_attempts = settings.limits.attempts;
+        books.keeps_marks = settings.session_marks == SessionMarks::Kept;
         let settings = Settings { classes: books.classes.clone(), ..settings };
         books.events.push(Event::Settings(Box::new(settings)));
         self.0.news.notify_one();
@@ -499,6 +544,9 @@
         let now = self.0.clock.now();
         let mut books = self.0.books.borrow_mut();
         let books = &mut *books;
+        // What the other process was told before a request came here comes before it.
+        let words = self.0.twin.borrow().as_ref().map(|twin| twin.hear()).unwrap_or_default();
+        books.events.splice(0..0, words.into_iter().map(Event::Told));
         while let Some((at, id)) = books.timers.first().copied().filter(|(at, _)| *at <= now) {
             books.timers.remove(&(at, id));
             books.events.push(Event::Timer(id));
@@ -591,7 +639,8 @@
             }));
             return self.0.news.notify_one();
         }
-        books.out.insert(key, Out { server, class: open.class, sent: now });
+        let out = Out { server, class: open.class, sent: now, writes: open.writes.clone() };
+        books.out.insert(key, out);
         let known = books.positions.get(&server).copied().flatten();
         let fresh_until = known.zip(open.bound).map(|(known, bound)| self.0.clock.instant(known + bound));
         let query = open.query.clone();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! Clients ([`clients`]) and data servers ([`servers`]) meet only in the [`exchange`], which asks the
 //! decision module what to do; [`discovery`] keeps the server list, [`ops`] answers the operators, and [`handover`]
-//! replaces the process, by means of [`parcel`]. Nothing in here decides where a request goes, whether it goes
+//! replaces the process, by means of [`parcel`] and, while there are two, [`twin`]. Nothing in here decides where a request goes, whether it goes
 //! again, or when it is refused.
 
 pub mod buffers;
@@ -14,3 +14,4 @@
 pub mod parcel;
 pub mod pg;
 pub mod servers;
+pub mod twin;
--- a/src/net/parcel.rs
+++ b/src/net/parcel.rs
@@ -1,7 +1,9 @@
 //! What goes over the Unix socket between a process and its successor.
 //!
-//! Owns the form of a parcel, which is a few bytes with a descriptor, and the calls that send and take one. It
-//! must never decide what is handed over, nor know what the descriptors are for.
+//! Owns the form of a parcel: its kind, its length, a checksum, and a descriptor beside some kinds; what a successor says
+//! first, and what it is told. Whatever is torn, altered, too long, or of another version is an error that says so, and
+//! nothing of it counts. Builds before 0.2 had a socket and a form of their own, which a successor of one still reads.
+//! It must never decide what is handed over, nor know what the descriptors are for.
 
 use std::io::{self, IoSlice, IoSliceMut};
 use std::mem::MaybeUninit;
@@ -10,89 +12,223 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use pipittack_core::failover::News;
+use pipittack_core::heritage::{Heritage, Stood};
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
 };
+use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
 use tokio::time::timeout;
 
-use super::exchange::Stand;
+use crate::listing::Listing;
 
-/// Time within which a running process must have handed over its listener.
+/// The version of all that is said here. Fields may be added to what is told; what changes its meaning changes this.
+const VERSION: u32 = 2;
+/// Time within which a running process must have handed over its listener, and a successor said who it is.
 const HANDED_WITHIN: Duration = Duration::from_secs(1);
-/// Bytes in which a process tells where servers stand, at the most.
-const KNOWN_MOST: u32 = 1 << 20;
+/// Bytes of a parcel at the most.
+const PARCEL_MOST: u32 = 16 << 20;
+/// Bytes in which an earlier build tells where servers stand, at the most.
+const STANDS_MOST: u32 = 1 << 20;
 
-/// What goes from a process to its successor, each with a descriptor.
+/// Bytes of a parcel before its content: kind, length, checksum.
+const HEAD: usize = 9;
+
+/// What goes from a process to its successor, and the greeting that goes the other way.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub(super) enum Parcel {
+pub(super) enum Kind {
+    /// Who the successor is.
+    Greeting,
     /// The listener, and how many clients the successor may have until it is told more.
-    Door(u32),
+    Door,
+    /// One end of the channel on which both tell what happens.
+    Words,
+    /// All that is known.
+    State,
     /// A client's connection that stands between requests; whether its startup is done.
-    Client(bool),
+    Client,
+}
+
+impl Kind {
+    const ALL: [(Self, u8, bool); 5] = [
+        (Self::Greeting, b'G', false),
+        (Self::Door, b'D', true),
+        (Self::Words, b'W', true),
+        (Self::State, b'S', false),
+        (Self::Client, b'C', true),
+    ];
+
+    fn letter(self) -> u8 {
+        Self::ALL.iter().find(|(kind, ..)| *kind == self).map_or(0, |(_, letter, _)| *letter)
+    }
 }
 
-/// Bytes of a parcel beside its descriptor.
-const PARCEL: usize = 5;
+/// A parcel as it came, with its descriptor where its kind has one.
+#[derive(Debug)]
+pub(super) struct Parcel {
+    pub kind: Kind,
+    pub content: Vec<u8>,
+    pub fd: Option<OwnedFd>,
+}
 
 impl Parcel {
-    fn encode(self) -> [u8; PARCEL] {
-        let (kind, [a, b, c, d]) = match self {
-            Self::Door(clients) => (b'D', clients.to_be_bytes()),
-            Self::Client(started) => (b'C', u32::from(started).to_be_bytes()),
-        };
-        [kind, a, b, c, d]
-    }
-
-    fn decode([kind, rest @ ..]: [u8; PARCEL]) -> Option<Self> {
-        let figure = u32::from_be_bytes(rest);
-        match kind {
-            b'D' => Some(Self::Door(figure)),
-            b'C' => Some(Self::Client(figure != 0)),
-            _ => None,
+    /// The number that it holds, if that is what it holds.
+    pub fn number(&self) -> io::Result<u32> {
+        let bytes = self.content[..].try_into().map_err(|_| fault("a parcel holds no number"))?;
+        Ok(u32::from_be_bytes(bytes))
+    }
+}
+
+/// Who says that it is a successor, and what it speaks.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Greeting {
+    version: u32,
+    /// The proxy's name.
+    name: String,
+}
+
+impl Greeting {
+    /// That of a process of this build.
+    pub fn of(name: &str) -> Self {
+        Self { version: VERSION, name: name.to_owned() }
+    }
+}
+
+/// What a process knows when its successor comes.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(default)]
+pub struct State {
+    version: u32,
+    /// Its clock's zero, in Unix milliseconds.
+    pub zero_unix_ms: f64,
+    /// The list of servers.
+    pub listing: Option<Listing>,
+    /// The names that servers have in the list, by the numbers in what follows.
+    pub names: Vec<(u32, String)>,
+    /// What the decisions stand on.
+    pub heritage: Heritage,
+}
+
+impl State {
+    /// What is told by a process of this build.
+    pub fn new(zero_unix_ms: f64, listing: Listing, names: Vec<(u32, String)>, heritage: Heritage) -> Self {
+        Self { version: VERSION, zero_unix_ms, listing: Some(listing), names, heritage }
+    }
+
+    pub(super) fn encode(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    fn decode(content: &[u8]) -> io::Result<Self> {
+        let state: Self = serde_json::from_slice(content)?;
+        match state.version {
+            VERSION => Ok(state),
+            other => Err(fault(&format!("what is known comes in version {other}, and {VERSION} is read"))),
         }
     }
 }
 
-pub(super) async fn send(stream: &UnixStream, parcel: Parcel, fd: BorrowedFd<'_>) -> io::Result<()> {
-    let bytes = parcel.encode();
+fn fault(what: &str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, what)
+}
+
+/// Sends a parcel, with a descriptor where its kind has one.
+pub(super) async fn send(
+    stream: &UnixStream,
+    kind: Kind,
+    content: &[u8],
+    fd: Option<BorrowedFd<'_>>,
+) -> io::Result<()> {
+    let length = u32::try_from(content.len()).ok().filter(|n| *n <= PARCEL_MOST);
+    let length = length.ok_or_else(|| fault("a parcel is too long"))?;
+    let sum = crc32fast::hash(content);
+    let mut bytes = vec![kind.letter()];
+    bytes.extend(length.to_be_bytes().iter().chain(&sum.to_be_bytes()).chain(content));
+    let fds: Vec<_> = fd.into_iter().collect();
     let write = || {
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
         let mut control = SendAncillaryBuffer::new(&mut space);
-        let fds = [fd];
-        control.push(SendAncillaryMessage::ScmRights(&fds));
+        if !fds.is_empty() {
+            control.push(SendAncillaryMessage::ScmRights(&fds));
+        }
         Ok(sendmsg(stream, &[IoSlice::new(&bytes)], &mut control, SendFlags::NOSIGNAL)?)
     };
-    match stream.async_io(Interest::WRITABLE, write).await? {
-        PARCEL => Ok(()),
-        _ => Err(io::ErrorKind::WriteZero.into()), // so few bytes go at once or not at all
+    let mut sent = stream.async_io(Interest::WRITABLE, write).await?;
+    if sent < HEAD {
+        return Err(io::ErrorKind::WriteZero.into()); // so few bytes go at once or not at all
+    }
+    while sent < bytes.len() {
+        stream.writable().await?;
+        match stream.try_write(&bytes[sent..]) {
+            Ok(n) => sent += n,
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
+        }
+    }
+    Ok(())
+}
+
+/// The next parcel; none at the end. What is wrong with one that came whole is told, and others may follow.
+pub(super) async fn receive(stream: &UnixStream) -> io::Result<Option<Result<Parcel, io::Error>>> {
+    let (mut head, mut got, mut fd) = ([0; HEAD], 0, None);
+    while got < HEAD {
+        // No more than the head is asked for, so that a descriptor that comes is this parcel's.
+        match take(stream, &mut head[got..]).await? {
+            (0, _) if got == 0 => return Ok(None),
+            (0, _) => return Err(io::ErrorKind::UnexpectedEof.into()),
+            (n, came) => (got, fd) = (got + n, came.or(fd)),
+        }
+    }
+    let [letter, a, b, c, d, sum @ ..] = head;
+    let (length, sum) = (u32::from_be_bytes([a, b, c, d]), u32::from_be_bytes(sum));
+    let known = Kind::ALL.iter().find(|(_, known, _)| *known == letter);
+    let &(kind, _, has_fd) = known.ok_or_else(|| fault("a parcel of no known kind"))?;
+    if length > PARCEL_MOST {
+        return Err(fault("a parcel is too long"));
     }
+    let content = read_exactly(stream, length as usize).await?;
+    if crc32fast::hash(&content) != sum {
+        return Err(fault("a parcel's checksum does not fit"));
+    }
+    if has_fd && fd.is_none() {
+        return Ok(Some(Err(fault("a descriptor was lost on its way")))); // there is none left for it here
+    }
+    Ok(Some(Ok(Parcel { kind, content, fd })))
 }
 
-/// The next parcel; none at the end.
-pub(super) async fn receive(stream: &UnixStream) -> io::Result<Option<(Parcel, OwnedFd)>> {
-    let mut bytes = [0; PARCEL];
+/// Some bytes, and the descriptor that comes with them.
+async fn take(stream: &UnixStream, into: &mut [u8]) -> io::Result<(usize, Option<OwnedFd>)> {
     let read = || {
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
         let mut control = RecvAncillaryBuffer::new(&mut space);
-        let mut into = [IoSliceMut::new(&mut bytes)];
-        let got = recvmsg(stream, &mut into, &mut control, RecvFlags::CMSG_CLOEXEC)?.bytes;
+        let got = recvmsg(stream, &mut [IoSliceMut::new(into)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
         let mut fds = control.drain().filter_map(|message| match message {
             RecvAncillaryMessage::ScmRights(mut fds) => fds.next(),
             _ => None,
         });
-        Ok((got, fds.next()))
+        Ok((got.bytes, fds.next()))
     };
-    match stream.async_io(Interest::READABLE, read).await? {
-        (0, _) => Ok(None),
-        (PARCEL, Some(fd)) => {
-            let parcel = Parcel::decode(bytes).ok_or(io::ErrorKind::InvalidData)?;
-            Ok(Some((parcel, fd)))
+    stream.async_io(Interest::READABLE, read).await
+}
+
+/// So many bytes. Room for them grows as they come, for the number is only a claim.
+async fn read_exactly(stream: &UnixStream, length: usize) -> io::Result<Vec<u8>> {
+    let mut content = Vec::new();
+    let mut piece = [0; 16 * 1024];
+    while content.len() < length {
+        stream.readable().await?;
+        let most = piece.len().min(length - content.len());
+        match stream.try_read(&mut piece[..most]) {
+            Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok(n) => content.extend_from_slice(&piece[..n]),
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) => return Err(e),
         }
-        _ => Err(io::ErrorKind::InvalidData.into()),
     }
+    Ok(content)
 }
 
 /// A successor that takes over connections.
@@ -103,7 +239,8 @@
     /// Hands a connection over, which ends here. `started` if its startup is done. Where the successor has
     /// just gone, the connection closes, as it would without one.
     pub async fn take(&self, stream: TcpStream, started: bool) -> io::Result<()> {
-        send(&self.0, Parcel::Client(started), OwnedFd::from(stream.into_std()?).as_fd()).await
+        let fd = OwnedFd::from(stream.into_std()?);
+        send(&self.0, Kind::Client, &[u8::from(started)], Some(fd.as_fd())).await
     }
 }
 
@@ -111,47 +248,122 @@
 pub struct Inheritance {
     /// How many clients there may be here until more come over.
     pub clients: usize,
-    /// Where the data servers stood.
-    pub known: Vec<Stand>,
+    /// What it knew; none where that did not come whole.
+    pub state: Option<State>,
+    /// Where both tell what happens.
+    pub words: Option<OwnedFd>,
     pub(super) stream: UnixStream,
+    /// The process is of an earlier build, whose connections come in a form of their own.
+    pub(super) early: bool,
 }
 
-/// Asks the process that runs, if one does, for the clients' door. What a killed process left is no hindrance.
-pub async fn inherit(path: &Path) -> Option<(TcpListener, Inheritance)> {
-    let mut stream = UnixStream::connect(path).await.ok()?;
-    let handed = async {
-        let door = receive(&stream).await?;
-        let mut known = vec![0; stream.read_u32().await?.min(KNOWN_MOST) as usize];
-        stream.read_exact(&mut known).await?;
-        Ok::<_, io::Error>((door, serde_json::from_slice(&known)?))
+/// Asks the process that runs, if one does, for the clients' door; at `early` where it is of an earlier build. What a
+/// killed process left is no hindrance.
+pub async fn inherit(path: &Path, early: &Path, greeting: &Greeting) -> Option<(TcpListener, Inheritance)> {
+    let handed = if let Ok(stream) = UnixStream::connect(path).await {
+        timeout(HANDED_WITHIN, ask(stream, greeting)).await
+    } else {
+        let stream = UnixStream::connect(early).await.ok()?;
+        timeout(HANDED_WITHIN, ask_early(stream)).await
     };
-    match timeout(HANDED_WITHIN, handed).await {
-        Ok(Ok((Some((Parcel::Door(clients), fd)), known))) => {
-            let listener = std::net::TcpListener::from(fd);
-            let listener = listener.set_nonblocking(true).and_then(|()| TcpListener::from_std(listener));
-            let clients = clients as usize;
-            Some((listener.ok()?, Inheritance { clients, known, stream }))
+    let done = handed.unwrap_or_else(|late| Err(late.into())).and_then(|(fd, inheritance)| {
+        let listener = std::net::TcpListener::from(fd);
+        listener.set_nonblocking(true)?;
+        Ok((TcpListener::from_std(listener)?, inheritance))
+    });
+    done.inspect_err(|e| log::warn!("the process that runs does not hand over its listener: {e}")).ok()
+}
+
+async fn ask(stream: UnixStream, greeting: &Greeting) -> io::Result<(OwnedFd, Inheritance)> {
+    let content = serde_json::to_vec(greeting)?;
+    send(&stream, Kind::Greeting, &content, None).await?;
+    let (mut door, mut words) = (None, None);
+    loop {
+        let parcel = receive(&stream).await?.ok_or(io::ErrorKind::UnexpectedEof)??;
+        match parcel.kind {
+            Kind::Door => door = Some((parcel.number()? as usize, parcel.fd)),
+            Kind::Words => words = parcel.fd,
+            Kind::State => {
+                let (clients, fd) = door.ok_or_else(|| fault("no door came before what is known"))?;
+                let fd = fd.ok_or_else(|| fault("the door has no descriptor"))?;
+                let state = State::decode(&parcel.content);
+                let state = state.inspect_err(|e| log::warn!("what is known can't be taken over: {e}")).ok();
+                return Ok((fd, Inheritance { clients, state, words, stream, early: false }));
+            }
+            Kind::Client | Kind::Greeting => return Err(fault("a parcel out of its turn")),
         }
-        other => {
-            log::warn!("the process that runs does not hand over its listener: {other:?}");
-            None
+    }
+}
+
+/// Reads who it is that has come; none of another proxy, or that speaks in another version.
+pub(super) async fn greeted(stream: &UnixStream, own: &Greeting) -> io::Result<()> {
+    let greeting = async {
+        let parcel = receive(stream).await?.ok_or(io::ErrorKind::UnexpectedEof)??;
+        Ok::<Greeting, io::Error>(serde_json::from_slice(&parcel.content)?)
+    };
+    match timeout(HANDED_WITHIN, greeting).await?? {
+        greeting if greeting == *own => Ok(()),
+        greeting => Err(fault(&format!(
+            "{} in version {} is no successor of {} in version {VERSION}",
+            greeting.name, greeting.version, own.name
+        ))),
+    }
+}
+
+/// What a build before 0.2 tells of a server.
+#[derive(Debug, Clone, Copy, Deserialize)]
+struct EarlyStand {
+    server: u32,
+    primary: bool,
+    /// In Unix milliseconds; for a primary, when this was said.
+    position_ms: f64,
+    #[serde(default)]
+    news: News,
+}
+
+impl EarlyStand {
+    /// It knew nothing of sessions, and of a primary only that it was one when last heard.
+    fn stood(&self) -> Stood {
+        let at = self.position_ms / 1e3;
+        Stood {
+            server: self.server,
+            position: Some(at).filter(|at| !self.primary && *at > 0.0),
+            heard: at,
+            primary: self.primary,
+            news: self.news,
+            ..Stood::default()
         }
     }
 }
 
-/// Sends what is known, behind its length.
-pub(super) async fn tell(stream: &UnixStream, known: &[u8]) -> io::Result<()> {
-    let bytes = [&(known.len() as u32).to_be_bytes(), known].concat();
-    let mut left = &bytes[..];
-    while !left.is_empty() {
-        stream.writable().await?;
-        match stream.try_write(left) {
-            Ok(n) => left = &left[n..],
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-            Err(e) => return Err(e),
+/// What such a process hands over: its door in five bytes, then where servers stand.
+async fn ask_early(mut stream: UnixStream) -> io::Result<(OwnedFd, Inheritance)> {
+    let (letter, clients, fd) = receive_early(&stream).await?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    if letter != b'D' {
+        return Err(fault("no door came first"));
+    }
+    let length = stream.read_u32().await?;
+    if length > STANDS_MOST {
+        return Err(fault("a parcel is too long"));
+    }
+    let stands: Vec<EarlyStand> = serde_json::from_slice(&read_exactly(&stream, length as usize).await?)?;
+    let servers = stands.iter().map(EarlyStand::stood).collect();
+    let heritage = Heritage { servers, ..Heritage::default() };
+    let state = State { heritage, ..State::default() };
+    let clients = clients as usize;
+    Ok((fd, Inheritance { clients, state: Some(state), words: None, stream, early: true }))
+}
+
+pub(super) async fn receive_early(stream: &UnixStream) -> io::Result<Option<(u8, u32, OwnedFd)>> {
+    let mut bytes = [0; 5];
+    match take(stream, &mut bytes).await? {
+        (0, _) => Ok(None),
+        (5, Some(fd)) => {
+            let [letter, figure @ ..] = bytes;
+            Ok(Some((letter, u32::from_be_bytes(figure), fd)))
         }
+        _ => Err(fault("a descriptor was lost on its way")),
     }
-    Ok(())
 }
 
 /// Waits for the end of a stream on which nothing is said.
@@ -164,6 +376,6 @@
     }
 }
 
-pub(super) async fn bind(path: &Path) -> io::Result<UnixStream> {
-    Ok(UnixListener::bind(path)?.accept().await?.0)
+pub(super) async fn bind(path: &Path) -> io::Result<UnixListener> {
+    UnixListener::bind(path)
 }
--- /dev/null
+++ b/src/net/twin.rs
@@ -0,0 +1,162 @@
+//! The other process of this proxy, while there are two: a channel on which each tells what happens.
+//!
+//! The two are one proxy to their clients: a session may write through one and read through the other. So each tells a
+//! commit before its client hears of it, and hears all that was told before it decides anything; the system keeps what
+//! was sent in order, so that nothing acknowledged is missed. Where the channel can't take a word, it is closed
+//! before the client gets its answer, and the other side, which finds that out first, counts the worst from then on.
+//! Owns the channel and the form of what goes over it. It must never wait, nor pass anything on late.
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::os::fd::{AsFd, OwnedFd};
+use std::rc::Rc;
+
+use pipittack_core::heritage::Word;
+use rustix::io::Errno;
+use rustix::net::{
+    recv, send, shutdown, socketpair, AddressFamily, RecvFlags, SendFlags, Shutdown, SocketFlags, SocketType,
+};
+use serde::{Deserialize, Serialize};
+use tokio::io::Interest;
+use tokio::net::UnixStream;
+use tokio::sync::Notify;
+use tokio::task::{spawn_local, AbortHandle};
+
+use super::discovery::SharedLister;
+use super::exchange::{Clock, Twin};
+use super::servers::PgExchange;
+
+/// Bytes of a word at the most; a session's name that does not fit closes the channel.
+const WORD_MOST: usize = 16 * 1024;
+
+/// A word as it goes over the channel.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Said {
+    Wrote {
+        session: String,
+        /// The commit, in Unix milliseconds.
+        commit_ms: f64,
+    },
+    /// The list says that a server of this name drains or is gone.
+    Withdrawn { uid: String },
+    /// There will be nothing more to tell: no request is open, and none will come.
+    Over,
+}
+
+/// This process's end of the channel.
+pub struct Channel {
+    fd: Rc<UnixStream>,
+    /// All was heard that had come.
+    heard: Rc<Notify>,
+    clock: Clock,
+    lister: SharedLister,
+    /// The other one has nothing more to tell, or can't be heard any more.
+    silent: Cell<bool>,
+    buffer: RefCell<Vec<u8>>,
+    wakes: AbortHandle,
+}
+
+/// A channel's two ends.
+pub fn pair() -> io::Result<(OwnedFd, OwnedFd)> {
+    let flags = SocketFlags::CLOEXEC | SocketFlags::NONBLOCK;
+    Ok(socketpair(AddressFamily::UNIX, SocketType::SEQPACKET, flags, None)?)
+}
+
+impl Channel {
+    /// Joins the exchange to another process by an end of a channel. Must run inside a [`tokio::task::LocalSet`].
+    pub fn join(exchange: &PgExchange, lister: &SharedLister, fd: OwnedFd) -> io::Result<()> {
+        // The runtime has no type for packets in order; it only waits on this one, and never reads or writes it.
+        let fd = Rc::new(UnixStream::from_std(fd.into())?);
+        let heard = Rc::new(Notify::new());
+        let (woken, nudged, done) = (fd.clone(), exchange.clone(), heard.clone());
+        let wakes = spawn_local(async move {
+            while woken.readable().await.is_ok() {
+                nudged.nudge();
+                done.notified().await;
+            }
+        });
+        let (clock, lister, wakes) = (exchange.clock(), lister.clone(), wakes.abort_handle());
+        let (silent, buffer) = (Cell::new(false), RefCell::new(vec![0; WORD_MOST]));
+        exchange.join(Rc::new(Self { fd, heard, clock, lister, silent, buffer, wakes }));
+        Ok(())
+    }
+
+    fn say(&self, said: &Said) {
+        let bytes = serde_json::to_vec(said).unwrap_or_default();
+        let fits = !bytes.is_empty() && bytes.len() <= WORD_MOST;
+        let sent = fits && send(self.fd.as_fd(), &bytes, SendFlags::DONTWAIT | SendFlags::NOSIGNAL).is_ok();
+        if !sent {
+            let _ = shutdown(self.fd.as_fd(), Shutdown::Write); // it may be gone already
+        }
+    }
+
+    fn word(&self, bytes: &[u8]) -> Option<Word> {
+        match serde_json::from_slice(bytes).ok()? {
+            Said::Wrote { session, commit_ms } => {
+                let commit = self.clock.of_unix_ms(commit_ms).as_secs_f64();
+                Some(Word::Wrote { session, commit })
+            }
+            Said::Withdrawn { uid } => Some(Word::Withdrawn(self.lister.borrow().number(&uid))),
+            Said::Over => {
+                self.silent.set(true);
+                None
+            }
+        }
+    }
+}
+
+impl Twin for Channel {
+    fn tell(&self, word: &Word) {
+        match word {
+            Word::Wrote { session, commit } => {
+                let commit = std::time::Duration::try_from_secs_f64(*commit).unwrap_or_default();
+                self.say(&Said::Wrote { session: session.clone(), commit_ms: self.clock.unix_ms(commit) });
+            }
+            Word::Withdrawn(server) => {
+                if let Some(uid) = self.lister.borrow().name(*server) {
+                    self.say(&Said::Withdrawn { uid: uid.to_owned() });
+                }
+            }
+            Word::Blind(_) => {} // it finds that out by itself
+        }
+    }
+
+    fn end(&self) {
+        self.say(&Said::Over);
+    }
+
+    fn hear(&self) -> Vec<Word> {
+        let mut words = Vec::new();
+        while !self.silent.get() {
+            let mut buffer = self.buffer.borrow_mut();
+            // Asks the system and not the runtime, which knows only what it heard when it last waited.
+            match recv(self.fd.as_fd(), &mut buffer[..], RecvFlags::DONTWAIT) {
+                Ok((n, _)) if n > 0 => {
+                    let word = self.word(&buffer[..n]);
+                    let heard = word.is_some() || self.silent.get();
+                    words.extend(word);
+                    if heard {
+                        continue;
+                    }
+                }
+                Err(Errno::AGAIN) => break,
+                Err(Errno::INTR) => continue,
+                _ => {}
+            }
+            // Its end, or something that can't be read: what was acknowledged there is unknown from now on.
+            self.silent.set(true);
+            words.push(Word::Blind(true));
+        }
+        let nothing_left = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
+        let _ = self.fd.try_io(Interest::READABLE, nothing_left);
+        self.heard.notify_one();
+        words
+    }
+}
+
+impl Drop for Channel {
+    fn drop(&mut self) {
+        self.wakes.abort();
+    }
+}
