A successor says when it serves; from then on the process before it takes nobody

Now the old one keeps all places until the successor says that it serves, and takes nobody after that. The yes on the second address comes after the door has moved.

--- a/core/src/decide.rs
+++ b/core/src/decide.rs
@@ -874,7 +874,8 @@
             chosen = ahead.max_by(|a, b| a.1.position.total_cmp(&b.1.position)).copied();
         }
         let replicas = self.members(p.request.group).filter(|s| replica(s) && s.1.has_room(now));
-        let probing = probe(replicas, &self.cfg, (self.crowd, !fresh.is_empty(), p.asked), now, draw);
+        let (seen, floor) = ((self.crowd, !fresh.is_empty(), p.asked), self.sessions.floor());
+        let probing = probe(replicas, &self.cfg, seen, floor, now, draw);
         // The primary serves what no replica can, or only far later. Room is kept for writes: of many
         // gateways none sends it reads while it is slow, for the writes of all meet there.
         let pauses = matches!(group.set.phase(), Phase::Suspected { .. });
--- a/core/src/scout.rs
+++ b/core/src/scout.rs
@@ -85,11 +85,13 @@
 }
 
 /// Whether a read asks one of these replicas by a probe. `fresh` where the read can go to one of them; `again` where it
-/// has asked already. In a small fleet it goes to the primary meanwhile.
+/// has asked already; `floor` is what reads of sessions without a mark must see. In a small fleet it goes elsewhere
+/// meanwhile.
 pub(crate) fn probe<'s>(
     replicas: impl Iterator<Item = (ServerId, &'s Server)>,
     settings: &Settings,
     (crowd, fresh, again): (bool, bool, bool),
+    floor: f64,
     now: f64,
     turn: usize,
 ) -> Probing {
@@ -100,7 +102,7 @@
     if crowd && able.iter().any(|(_, s)| s.probing && now - s.asked < ASK_WAIT) {
         return Probing::Waits;
     }
-    let asks = |s: &Server| crowd || (now - s.asked >= ASK_AGAIN && (!fresh || s.position <= 0.0));
+    let asks = |s: &Server| crowd || (now - s.asked >= ASK_AGAIN && s.position <= floor);
     let able: Vec<_> = able.into_iter().filter(|(_, s)| asks(s)).map(|(id, _)| id).collect();
     match able.get(turn.checked_rem(able.len()).unwrap_or(0)) {
         Some(id) if !again => Probing::Ask(*id, crowd),
--- a/core/src/sessions.rs
+++ b/core/src/sessions.rs
@@ -100,7 +100,8 @@
         }
     }
 
-    fn floor(&self) -> f64 {
+    /// What a session without a mark must see.
+    pub fn floor(&self) -> f64 {
         self.floor.max(self.start.unwrap_or(0.0))
     }
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -235,19 +235,19 @@
         None => None,
     };
     let (door, opened) = (clients.clone(), control.clone());
-    let prepare = async move {
-        let _ = timeout(LISTED_WITHIN, opened.listed()).await;
-        opened.ready.set(true);
-    };
     spawn_local(async move {
         // A successor lets the other process serve until it can do so itself.
         if let Some(mut heritage) = heritage {
             heritage.join(&shares);
-            prepare.await;
-            heritage.recall(&shares);
+            let _ = timeout(LISTED_WITHIN, opened.listed()).await;
+            heritage.enter(&shares).await;
+            opened.ready.set(true);
             spawn_local(async move { heritage.follow(&shares).await });
         } else {
-            spawn_local(prepare);
+            spawn_local(async move {
+                let _ = timeout(LISTED_WITHIN, opened.listed()).await;
+                opened.ready.set(true);
+            });
         }
         log::info!("serving at {address}");
         door.run(listener, holds).await;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -112,6 +112,8 @@
     taken: Cell<u64>,
     /// How many there may be, while another process has a part of them.
     limit: Cell<Option<usize>>,
+    /// Another process takes who comes.
+    yields: watch::Sender<bool>,
     /// Takes over those that stand between requests, once the door is closed.
     successor: RefCell<Option<Successor>>,
     /// Those that have asked nothing yet, and those that stand between requests, each with since when.
@@ -182,6 +184,7 @@
             connected: RefCell::default(),
             taken: Cell::new(0),
             limit: Cell::default(),
+            yields: watch::Sender::new(false),
             successor: RefCell::default(),
             silent: RefCell::default(),
             idle: RefCell::default(),
@@ -197,12 +200,13 @@
     /// Takes in clients until the farewell closes the door. `holds` is a task that has a copy of the listener for
     /// successors; while it has, the queue goes on. Must run inside a [`tokio::task::LocalSet`].
     pub async fn run(&self, listener: TcpListener, holds: Option<JoinHandle<()>>) {
-        let mut door = self.0.door.subscribe();
+        let (mut door, mut yields) = (self.0.door.subscribe(), self.0.yields.subscribe());
         let mut sweep = tokio::time::interval(SWEEP_EVERY);
         loop {
             tokio::select! {
                 _ = sweep.tick() => while self.is_crowded() && self.0.make_room() {},
-                accepted = listener.accept() => self.admit(accepted).await,
+                accepted = listener.accept(), if !*yields.borrow() => self.admit(accepted).await,
+                Ok(()) = yields.changed() => {}
                 _ = door.wait_for(|door| *door >= Door::Closed) => break,
             }
         }
@@ -396,15 +400,22 @@
         self.0.limit.get().unwrap_or(self.0.most)
     }
 
-    /// Sets that while another process has its part; none gives all back.
+    /// Sets that while another process has its part.
     pub fn set_limit(&self, limit: Option<usize>) {
         self.0.limit.set(limit);
     }
 
-    /// Keeps to half of the places, or to what is taken if that is more; gives how many these are.
-    pub fn halve(&self) -> usize {
-        let kept = (self.0.usual / 2).max(self.0.connected.borrow().len()).min(self.limit());
+    /// Has all places again, and takes who comes: no other process does any more.
+    pub fn take_all(&self) {
+        self.set_limit(None);
+        self.0.yields.send_replace(false);
+    }
+
+    /// Takes nobody any more, and keeps the places that are taken; gives how many these are.
+    pub fn yield_door(&self) -> usize {
+        let kept = self.0.connected.borrow().len().min(self.limit());
         self.set_limit(Some(kept));
+        self.0.yields.send_replace(true);
         kept
     }
 
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -12,20 +12,23 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::net::{TcpStream, UnixStream};
+use tokio::net::{TcpStream, UnixListener, UnixStream};
+use tokio::time::timeout;
 
 use super::buffers::Pool;
 use super::clients::Clients;
 use super::discovery::SharedLister;
 use super::exchange::Order;
 use super::parcel::{
-    bind, ended, greeted, receive, receive_early, send, Greeting, Inheritance, Kind, State, Successor,
+    ended, greeted, receive, receive_early, send, Greeting, Inheritance, Kind, State, Successor,
 };
 use super::servers::PgExchange;
 use super::twin::{pair, Channel};
 
 /// Part of the buffers and of the sockets to data servers that each process may use while there are two.
 const HALF: f64 = 0.5;
+/// Time within which the process that serves must have left its door to the successor.
+const MOVED_WITHIN: Duration = Duration::from_secs(1);
 /// Time between tries to wait for a successor.
 const AGAIN_AFTER: Duration = Duration::from_secs(10);
 
@@ -51,36 +54,53 @@
 
     /// The other process is gone.
     fn take_all(&self) {
-        self.clients.set_limit(None);
+        self.clients.take_all();
         self.divide(false);
         self.exchange.part();
     }
 }
 
 impl Inheritance {
-    /// Joins the process that serves as well: from now on this one hears what it acknowledges, or counts the worst.
+    /// Hears from now on what the process that serves as well acknowledges, or else counts the worst.
     pub fn join(&mut self, shares: &Shares) {
-        shares.clients.set_limit(Some(self.clients));
-        shares.divide(true);
         let joined = self.words.take().map(|fd| Channel::join(&shares.exchange, &shares.lister, fd));
         if !matches!(joined, Some(Ok(()))) {
             shares.exchange.blind();
         }
     }
 
-    /// Takes over what it knew. To be called before anything is served.
-    pub fn recall(&mut self, shares: &Shares) {
+    /// Takes over what it knew, and then the door: once this returns, clients may be taken.
+    pub async fn enter(&mut self, shares: &Shares) {
         let mut state = self.state.take().unwrap_or_default();
         for stood in &mut state.heritage.servers {
             let uid = state.names.iter().find(|(id, _)| *id == stood.server);
             stood.server = uid.map_or(stood.server, |(_, uid)| shares.lister.borrow().number(uid).0);
         }
         shares.exchange.inherit(state.heritage, state.zero_unix_ms);
+        let places = async {
+            if let Some(places) = self.places {
+                return Ok(places);
+            }
+            send(&self.stream, Kind::Serves, &[], None).await?;
+            let parcel = receive(&self.stream).await?.ok_or(io::ErrorKind::UnexpectedEof)??;
+            match parcel.kind {
+                Kind::Places => Ok(parcel.number()? as usize),
+                other => Err(io::Error::other(format!("a parcel out of its turn: {other:?}"))),
+            }
+        };
+        let places: io::Result<usize> = timeout(MOVED_WITHIN, places).await.unwrap_or_else(|e| Err(e.into()));
+        match places {
+            Ok(places) => {
+                shares.clients.set_limit(Some(places));
+                shares.divide(true);
+            }
+            Err(e) => log::warn!("the process before this one goes without a word: {e}"),
+        }
     }
 
     /// The next client that comes over; none once the process is gone.
     async fn next(&self) -> io::Result<Option<(bool, OwnedFd)>> {
-        if self.early {
+        if self.is_early() {
             let parcel = receive_early(&self.stream).await?;
             return Ok(parcel.map(|(_, started, fd)| (started != 0, fd)));
         }
@@ -122,49 +142,54 @@
 pub async fn run(path: PathBuf, greeting: Greeting, listener: OwnedFd, shares: Rc<Shares>) {
     loop {
         let _ = std::fs::remove_file(&path); // what a process that is gone left there
-        let waits = match bind(&path).await {
-            Ok(waits) => waits,
+        let successor = match UnixListener::bind(&path) {
+            Ok(waits) => waits.accept().await.map(|(stream, _)| stream),
+            Err(e) => Err(e),
+        };
+        match successor {
+            Ok(successor) => match greeted(&successor, &greeting).await {
+                Ok(()) => succeed(Rc::new(successor), &listener, &shares).await,
+                Err(e) => log::warn!("who came as a successor is none: {e}"),
+            },
             Err(e) => {
                 log::warn!("can't wait for a successor at {}: {e}", path.display());
                 tokio::time::sleep(AGAIN_AFTER).await;
-                continue;
-            }
-        };
-        let successor = loop {
-            match waits.accept().await {
-                Ok((stream, _)) => match greeted(&stream, &greeting).await {
-                    Ok(()) => break stream,
-                    Err(e) => log::warn!("who came as a successor is none: {e}"),
-                },
-                Err(e) => {
-                    log::warn!("a successor could not come: {e}");
-                    tokio::time::sleep(AGAIN_AFTER).await;
-                }
             }
-        };
-        drop(waits);
-        // The limit of clients is divided by how many are here, and moves with each that goes over.
-        let limit = shares.clients.limit();
-        let kept = shares.clients.halve();
-        log::info!("a successor has come; this process keeps up to {kept} clients");
+        }
+    }
+}
+
+/// Is replaced, which ends with the process; returns if the successor goes first.
+async fn succeed(successor: Rc<UnixStream>, listener: &OwnedFd, shares: &Shares) {
+    log::info!("a successor has come");
+    let done = async {
+        hand_over(&successor, listener, shares).await?;
+        let parcel = receive(&successor).await?.ok_or(io::ErrorKind::UnexpectedEof)??;
+        if parcel.kind != Kind::Serves {
+            return Err(io::Error::other(format!("a parcel out of its turn: {:?}", parcel.kind)));
+        }
+        // From now on it takes who comes. Places are divided by how many are here, and move with each that goes over.
+        let (limit, kept) = (shares.clients.limit(), shares.clients.yield_door());
         shares.divide(true);
-        let successor = Rc::new(successor);
-        match hand_over(&successor, (limit - kept) as u32, &listener, &shares).await {
-            Ok(()) => {
-                shares.clients.set_successor(Some(Successor(successor.clone())));
-                ended(&successor).await;
-            }
-            Err(e) => log::warn!("the successor could not be told all: {e}"),
+        log::info!("the successor serves; this process keeps {kept} clients");
+        let places = (limit - kept) as u32;
+        send(&successor, Kind::Places, &places.to_be_bytes(), None).await
+    };
+    match done.await {
+        Ok(()) => {
+            shares.clients.set_successor(Some(Successor(successor.clone())));
+            ended(&successor).await;
         }
-        shares.clients.set_successor(None);
-        shares.take_all();
-        log::warn!("the successor is gone");
+        Err(e) => log::warn!("the successor can't take over: {e}"),
     }
+    shares.clients.set_successor(None);
+    shares.take_all();
+    log::warn!("the successor is gone");
 }
 
 /// Gives the door, and all that is known. What happens from then on goes over the channel, which is joined in the same
 /// moment, so that nothing falls between.
-async fn hand_over(to: &UnixStream, clients: u32, listener: &OwnedFd, shares: &Shares) -> io::Result<()> {
+async fn hand_over(to: &UnixStream, listener: &OwnedFd, shares: &Shares) -> io::Result<()> {
     let (here, there) = pair()?;
     Channel::join(&shares.exchange, &shares.lister, here)?;
     let state = {
@@ -172,7 +197,7 @@
         let zero = exchange.clock().zero_unix_ms();
         State::new(zero, lister.listing(), lister.names(), exchange.heritage())
     };
-    send(to, Kind::Door, &clients.to_be_bytes(), Some(listener.as_fd())).await?;
+    send(to, Kind::Door, &[], Some(listener.as_fd())).await?;
     send(to, Kind::Words, &[], Some(there.as_fd())).await?;
     send(to, Kind::State, &state.encode(), None).await
 }
--- a/src/net/parcel.rs
+++ b/src/net/parcel.rs
@@ -20,7 +20,7 @@
 };
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, Interest};
-use tokio::net::{TcpListener, TcpStream, UnixListener, UnixStream};
+use tokio::net::{TcpListener, TcpStream, UnixStream};
 use tokio::time::timeout;
 
 use crate::listing::Listing;
@@ -37,27 +37,33 @@
 /// Bytes of a parcel before its content: kind, length, checksum.
 const HEAD: usize = 9;
 
-/// What goes from a process to its successor, and the greeting that goes the other way.
+/// What goes from a process to its successor, and what goes the other way.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) enum Kind {
     /// Who the successor is.
     Greeting,
-    /// The listener, and how many clients the successor may have until it is told more.
+    /// The listener.
     Door,
     /// One end of the channel on which both tell what happens.
     Words,
     /// All that is known.
     State,
+    /// The successor is about to take clients.
+    Serves,
+    /// So many clients it may have until it is told more; the process before it takes none from now on.
+    Places,
     /// A client's connection that stands between requests; whether its startup is done.
     Client,
 }
 
 impl Kind {
-    const ALL: [(Self, u8, bool); 5] = [
+    const ALL: [(Self, u8, bool); 7] = [
         (Self::Greeting, b'G', false),
         (Self::Door, b'D', true),
         (Self::Words, b'W', true),
         (Self::State, b'S', false),
+        (Self::Serves, b'R', false),
+        (Self::Places, b'P', false),
         (Self::Client, b'C', true),
     ];
 
@@ -246,15 +252,20 @@
 
 /// What a successor has from the process that it replaces.
 pub struct Inheritance {
-    /// How many clients there may be here until more come over.
-    pub clients: usize,
+    /// How many clients there may be here until more come over, where that was told at once.
+    pub(super) places: Option<usize>,
     /// What it knew; none where that did not come whole.
     pub state: Option<State>,
     /// Where both tell what happens.
     pub words: Option<OwnedFd>,
     pub(super) stream: UnixStream,
-    /// The process is of an earlier build, whose connections come in a form of their own.
-    pub(super) early: bool,
+}
+
+impl Inheritance {
+    /// Whether it comes from an earlier build, whose connections come in a form of their own.
+    pub(super) fn is_early(&self) -> bool {
+        self.places.is_some()
+    }
 }
 
 /// Asks the process that runs, if one does, for the clients' door; at `early` where it is of an earlier build. What a
@@ -281,16 +292,15 @@
     loop {
         let parcel = receive(&stream).await?.ok_or(io::ErrorKind::UnexpectedEof)??;
         match parcel.kind {
-            Kind::Door => door = Some((parcel.number()? as usize, parcel.fd)),
+            Kind::Door => door = parcel.fd,
             Kind::Words => words = parcel.fd,
             Kind::State => {
-                let (clients, fd) = door.ok_or_else(|| fault("no door came before what is known"))?;
-                let fd = fd.ok_or_else(|| fault("the door has no descriptor"))?;
+                let fd = door.ok_or_else(|| fault("no door came before what is known"))?;
                 let state = State::decode(&parcel.content);
                 let state = state.inspect_err(|e| log::warn!("what is known can't be taken over: {e}")).ok();
-                return Ok((fd, Inheritance { clients, state, words, stream, early: false }));
+                return Ok((fd, Inheritance { places: None, state, words, stream }));
             }
-            Kind::Client | Kind::Greeting => return Err(fault("a parcel out of its turn")),
+            _ => return Err(fault("a parcel out of its turn")),
         }
     }
 }
@@ -338,7 +348,7 @@
 
 /// What such a process hands over: its door in five bytes, then where servers stand.
 async fn ask_early(mut stream: UnixStream) -> io::Result<(OwnedFd, Inheritance)> {
-    let (letter, clients, fd) = receive_early(&stream).await?.ok_or(io::ErrorKind::UnexpectedEof)?;
+    let (letter, places, fd) = receive_early(&stream).await?.ok_or(io::ErrorKind::UnexpectedEof)?;
     if letter != b'D' {
         return Err(fault("no door came first"));
     }
@@ -350,8 +360,7 @@
     let servers = stands.iter().map(EarlyStand::stood).collect();
     let heritage = Heritage { servers, ..Heritage::default() };
     let state = State { heritage, ..State::default() };
-    let clients = clients as usize;
-    Ok((fd, Inheritance { clients, state: Some(state), words: None, stream, early: true }))
+    Ok((fd, Inheritance { places: Some(places as usize), state: Some(state), words: None, stream }))
 }
 
 pub(super) async fn receive_early(stream: &UnixStream) -> io::Result<Option<(u8, u32, OwnedFd)>> {
@@ -375,7 +384,3 @@
         }
     }
 }
-
-pub(super) async fn bind(path: &Path) -> io::Result<UnixListener> {
-    UnixListener::bind(path)
-}
