--- a/core/src/decide.rs
+++ b/core/src/decide.rs
@@ -38,6 +38,7 @@
 const MIX_KEPT: f64 = 0.99; // memory of the mix of read classes, for each read
 const WRITE_SHARE: f64 = 0.5; // of the primary's window that reads leave to writes
 
+const SPENT: (f64, f64) = (0.1, 0.75); // s behind, and part of the aim in which its answer must be expected
 const ROUNDED: f64 = 0.001; // s by which a commit may be told too late
 const GAIN_CLASS: f64 = 0.03; // weight of one answer in a class's mean time
 /// A gauge averages over 10 answers, forgets in 10 s, and weighs what is usual like 2 answers of its own.
@@ -879,6 +880,10 @@
             let unheard = |s: &Server| s.in_flight < 1.0 && (s.position == 0.0 || s.lag.is_infinite());
             chosen = open.iter().find(|s| !guess && unheard(s.1)).map(|s| ***s).or(chosen);
         }
+        // What any member may serve goes where others' reads can't, and keeps that one from catching up.
+        let spent = |s: &(ServerId, &Server)| s.1.lag > SPENT.0 && busy(s.1) < SPENT.1 * secs(class.aim);
+        let spent = open.iter().filter(|s| class.need == Need::Eventual && spent(s));
+        let spent = spent.max_by(|a, b| a.1.lag.total_cmp(&b.1.lag)).map(|s| ***s);
         if chosen.is_none() && fresh.is_empty() && guess {
             let ahead = up.iter().filter(|s| replica(s) && s.1.has_room(now) && now - s.1.heard > 1.0);
             chosen = ahead.max_by(|a, b| a.1.position.total_cmp(&b.1.position)).copied();
@@ -897,8 +902,8 @@
         });
         let warm = |s: &Server| s.cold(now, &self.cfg.contract) >= 1.0; // the cold warm up by work
         let far = |s: &Server, c: &Server| warm(c) && SPILL * busy(s) < busy(c);
-        let relief = primary.filter(|(_, s)| chosen.is_none_or(|c| far(s, c.1)));
-        let choice = canary.or(relief.copied()).or(chosen).map(|(i, s)| (i, self.timeout(p, s)));
+        let relief = primary.filter(|(_, s)| spent.is_none() && chosen.is_none_or(|c| far(s, c.1)));
+        let choice = canary.or(relief.copied()).or(spent).or(chosen).map(|(i, s)| (i, self.timeout(p, s)));
         if let Probing::Ask(server, _) = probing {
             let s = self.servers.get_mut(&server)?;
             (s.probing, s.asked) = (true, now);
--- a/core/tests/common/mod.rs
+++ b/core/tests/common/mod.rs
@@ -197,6 +197,12 @@
                 self.end(Outcome::Ok, Some(primary), if primary { ms(0) } else { behind });
             }
         }
+        for server in [2, 3] {
+            let report =
+                Report { position: Some(self.now - behind), primary: Some(false), ..Report::default() };
+            let probed = Event::Probed { server: ServerId(server), ok: true, report: Some(report) };
+            self.step(vec![probed]);
+        }
     }
 }
 
--- a/core/tests/module.rs
+++ b/core/tests/module.rs
@@ -848,3 +848,23 @@
     assert!(work <= third, "{work} s of work, of {third} that a third of the proxies may send");
     assert!(light > 2, "{light} look-ups: what it can do is used");
 }
+
+/// Found on kigali-quotes: reports, which any member may answer and which stop the applying of the log where they run, went
+/// to all replicas alike; all were behind, session reads and those with a bound met at the primaries.
+#[test]
+fn what_any_member_may_serve_goes_to_the_replica_that_is_furthest_behind() {
+    let mut b = Bench::new(settings());
+    b.hear_all(ms(10));
+    let request = b.request(ANY);
+    let to = targets(&b.step(vec![Event::Request(request)]));
+    let last = to[0];
+    b.end(Outcome::Ok, Some(false), ms(400)); // it fell behind
+    for _ in 0..6 {
+        assert_eq!(targets(&b.call(ANY)), [last]);
+        b.now += ms(10);
+        b.end(Outcome::Ok, Some(false), ms(400));
+    }
+    // Not beyond what it answers in time: then the other one serves as well.
+    let to: Vec<u32> = (0..30).flat_map(|_| targets(&b.call(ANY))).collect();
+    assert!(to.contains(&last) && to.iter().any(|to| *to != last), "{to:?}");
+}
