--- a/core/src/decide.rs
+++ b/core/src/decide.rs
@@ -883,7 +883,7 @@
         // What any member may serve goes where others' reads can't, and keeps that one from catching up.
         let spent = |s: &(ServerId, &Server)| s.1.lag > SPENT.0 && busy(s.1) < SPENT.1 * secs(class.aim);
         let spent = open.iter().filter(|s| class.need == Need::Eventual && spent(s));
-        let spent = spent.max_by(|a, b| a.1.lag.total_cmp(&b.1.lag)).map(|s| ***s);
+        chosen = spent.max_by(|a, b| a.1.lag.total_cmp(&b.1.lag)).map(|s| ***s).or(chosen);
         if chosen.is_none() && fresh.is_empty() && guess {
             let ahead = up.iter().filter(|s| replica(s) && s.1.has_room(now) && now - s.1.heard > 1.0);
             chosen = ahead.max_by(|a, b| a.1.position.total_cmp(&b.1.position)).copied();
@@ -902,8 +902,8 @@
         });
         let warm = |s: &Server| s.cold(now, &self.cfg.contract) >= 1.0; // the cold warm up by work
         let far = |s: &Server, c: &Server| warm(c) && SPILL * busy(s) < busy(c);
-        let relief = primary.filter(|(_, s)| spent.is_none() && chosen.is_none_or(|c| far(s, c.1)));
-        let choice = canary.or(relief.copied()).or(spent).or(chosen).map(|(i, s)| (i, self.timeout(p, s)));
+        let relief = primary.filter(|(_, s)| chosen.is_none_or(|c| far(s, c.1)));
+        let choice = canary.or(relief.copied()).or(chosen).map(|(i, s)| (i, self.timeout(p, s)));
         if let Probing::Ask(server, _) = probing {
             let s = self.servers.get_mut(&server)?;
             (s.probing, s.asked) = (true, now);
