Serve what a client has asked when its place is wanted: unread requests were lost in a crowd

What is proved: a proxy that stands still and then finds a crowd closes idle clients to make room, and one of them may have asked meanwhile. At fault: make_room() in net/clients.rs, which ended the task without a look at its socket. Now the task ends itself, by the way that a farewell takes, and serves what the system holds first.

tests/network.rs stops the program while 20 idle clients ask and 60 others come; it fails without the change (the first client of 20 gets nothing) and passes three of three with it.

--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -18,7 +18,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{watch, Notify};
-use tokio::task::{AbortHandle, JoinHandle};
+use tokio::task::JoinHandle;
 use tokio::time::{sleep_until, timeout, Instant};
 
 use super::buffers::{self, write_all, Chain, Pool, Room};
@@ -107,8 +107,8 @@
     pool: Pool,
     /// For texts that must lie in one piece while they are parsed; one for all, so that none is kept idle.
     scratch: RefCell<Vec<u8>>,
-    /// The connections, by the number in which they came.
-    connected: RefCell<HashMap<u64, AbortHandle>>,
+    /// The connections, by the number in which they came, each with the word that it has to make room.
+    connected: RefCell<HashMap<u64, Rc<Notify>>>,
     taken: Cell<u64>,
     /// How many there may be, while another process has a part of them.
     limit: Cell<Option<usize>>,
@@ -366,11 +366,14 @@
         let number = side.taken.get() + 1;
         side.taken.set(number);
         let place = Place(side.clone(), number);
-        let task = tokio::task::spawn_local(async move {
+        let unwanted = Rc::new(Notify::new());
+        side.connected.borrow_mut().insert(number, unwanted.clone());
+        tokio::task::spawn_local(async move {
             let side = &*place.0;
             let inbound = side.pool.chain();
             let (came, room, asked, leaves) = (side.exchange.clock().now(), None, false, false);
-            let mut client = Client { inbound, side, number, came, stream, stage, room, asked, leaves };
+            let mut client =
+                Client { inbound, side, number, came, stream, stage, room, asked, leaves, unwanted };
             if let Err(e) = client.serve().await {
                 return log::debug!("client connection: {e}");
             }
@@ -382,7 +385,6 @@
                 Err(e) => log::debug!("client connection: can't be handed over: {e}"),
             }
         });
-        side.connected.borrow_mut().insert(number, task.abort_handle());
         if let Some(farewell) = &mut *side.farewell.borrow_mut() {
             farewell.came();
         }
@@ -443,8 +445,8 @@
             Some(first.1)
         };
         let client = longest(&self.silent).or_else(|| longest(&self.idle));
-        if let Some(task) = client.and_then(|number| self.connected.borrow().get(&number).cloned()) {
-            task.abort();
+        if let Some(unwanted) = client.and_then(|number| self.connected.borrow().get(&number).cloned()) {
+            unwanted.notify_waiters();
         }
         client.is_some()
     }
@@ -557,6 +559,8 @@
     asked: bool,
     /// It stands between requests, and this process lets it go.
     leaves: bool,
+    /// Its place is wanted for another.
+    unwanted: Rc<Notify>,
 }
 
 /// How far a connection has come.
@@ -621,19 +625,21 @@
             Stage::Started if self.asked => Standing::Between,
             _ => Standing::Silent,
         };
-        tokio::select! {
+        let goes = tokio::select! {
             biased;
             read = self.inbound.fill(&self.stream) => return Ok(read? > 0),
-            () = self.side.lets_go(standing, self.stage, self.came), if standing != Standing::Begun => {
-                // What the system has and the runtime has not heard of is served like all that was read.
-                let unread = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
-                if unread.is_ok_and(|n| n > 0) {
-                    return Ok(self.inbound.fill(&self.stream).await? > 0);
-                }
-                self.leaves = true;
-                return Ok(false);
+            () = self.side.lets_go(standing, self.stage, self.came), if standing != Standing::Begun => true,
+            () = self.unwanted.notified(), if standing != Standing::Begun => true,
+            () = sleep_until(late.unwrap_or_else(Instant::now)), if late.is_some() => false,
+        };
+        if goes {
+            // What the system has and the runtime has not heard of is served like all that was read.
+            let unread = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+            if unread.is_ok_and(|n| n > 0) {
+                return Ok(self.inbound.fill(&self.stream).await? > 0);
             }
-            () = sleep_until(late.unwrap_or_else(Instant::now)), if late.is_some() => {}
+            self.leaves = true;
+            return Ok(false);
         }
         if standing == Standing::Begun {
             self.expel("08P01", "a message was not complete in time").await?;
--- a/tests/network.rs
+++ b/tests/network.rs
@@ -460,6 +460,26 @@
     assert_eq!(kinds(&last.ask(&read(1000))), "TDCZ");
 }
 
+/// Guards against a lost request: what has come is served, though the program has not seen it yet when its client's place
+/// is wanted. A process that stood still finds both at once.
+#[test]
+fn a_client_whose_place_is_wanted_is_served_what_it_has_asked() {
+    let server = DataServer::start(true, ok);
+    let proxy = start_within(192, 128, &[server.listed("a", "read-write", "Ready")]);
+    let mut idle: Vec<_> = (0..20).map(|_| greet(&proxy).0).collect();
+    let text = |n: usize| read(3000).replace("id=1", &format!("id={n}"));
+    (0..).zip(&mut idle).for_each(|(n, client)| assert_eq!(kinds(&client.ask(&text(n))), "TDCZ"));
+    std::thread::sleep(Duration::from_millis(2100)); // who stands for less may not be closed
+    proxy.signal("STOP");
+    let crowd: Vec<_> = (0..60).map(|_| Client::raw(&proxy)).collect();
+    (20..).zip(&mut idle).for_each(|(n, client)| client.send(&query(&text(n))));
+    proxy.signal("CONT");
+    for client in &mut idle {
+        assert_eq!(kinds(&client.answer()), "TDCZ");
+    }
+    drop(crowd);
+}
+
 /// In a crowd silent clients go by themselves after a time, and one that is slow in what it says is not among them.
 #[test]
 fn a_crowd_of_silent_clients_goes_and_a_slow_one_is_served() {
