--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -37,6 +37,8 @@
 const STANDS_LEAST: Duration = Duration::from_secs(2);
 /// Part of the usual places from which on connections are closed that may be.
 const CROWDED: f64 = 0.5;
+/// Part of the places for clients that have asked nothing yet. Where it is taken, one that comes has to ask at once.
+const SILENT: f64 = 0.25;
 /// Time between looks for them.
 const SWEEP_EVERY: Duration = Duration::from_millis(50);
 /// Clients in whose steps sockets are shared with the other side.
@@ -61,6 +63,7 @@
 /// Time in which the last errors of a process whose time is up are written.
 const LAST_WORD: Duration = Duration::from_millis(50);
 const BACKLOG: u32 = 1024;
+const TOO_MANY: &str = "sorry, too many clients already";
 /// The longest message that must come as a whole within [`MESSAGE_WITHIN`]; of a longer one, some more must.
 const WITHIN_MOST: usize = 144 * 1024;
 /// The parts at the start and the end of a long statement that are looked at word by word.
@@ -119,6 +122,8 @@
     /// Those that have asked nothing yet, and those that stand between requests, each with since when.
     silent: Since,
     idle: Since,
+    /// How many have asked nothing yet.
+    unasked: Cell<usize>,
     /// Clients turned away since the last warning, and when that was.
     turned_away: Cell<(u64, Option<Instant>)>,
     /// Ids of the requests that are open.
@@ -188,6 +193,7 @@
             successor: RefCell::default(),
             silent: RefCell::default(),
             idle: RefCell::default(),
+            unasked: Cell::new(0),
             turned_away: Cell::new((0, None)),
             ids: RefCell::default(),
             farewell: RefCell::default(),
@@ -353,7 +359,8 @@
         if connected() >= limit + TURNED_AWAY_MOST {
             return tokio::task::yield_now().await; // those that were closed must get to go
         }
-        self.spawn(stream, Stage::New { full });
+        let hurried = side.unasked.get() as f64 >= limit as f64 * SILENT;
+        self.spawn(stream, Stage::New { full }, hurried);
     }
 
     fn is_crowded(&self) -> bool {
@@ -361,19 +368,32 @@
     }
 
     /// Serves a connection in a task of its own, from a stage on.
-    fn spawn(&self, stream: TcpStream, stage: Stage) {
+    fn spawn(&self, stream: TcpStream, stage: Stage, hurried: bool) {
         let side = self.0.clone();
         let number = side.taken.get() + 1;
         side.taken.set(number);
         let place = Place(side.clone(), number);
         let unwanted = Rc::new(Notify::new());
+        // Who comes over from another process has stood there.
+        let unasked = (stage != Stage::Started).then(|| Unasked::new(&side));
         side.connected.borrow_mut().insert(number, unwanted.clone());
         tokio::task::spawn_local(async move {
             let side = &*place.0;
             let inbound = side.pool.chain();
-            let (came, room, asked, leaves) = (side.exchange.clock().now(), None, false, false);
-            let mut client =
-                Client { inbound, side, number, came, stream, stage, room, asked, leaves, unwanted };
+            let (came, room, leaves) = (side.exchange.clock().now(), None, false);
+            let mut client = Client {
+                inbound,
+                side,
+                number,
+                came,
+                stream,
+                stage,
+                room,
+                unasked,
+                leaves,
+                unwanted,
+                hurried,
+            };
             if let Err(e) = client.serve().await {
                 return log::debug!("client connection: {e}");
             }
@@ -394,7 +414,7 @@
     /// Takes over a connection that stands between requests; `started` if its startup is done.
     pub fn adopt(&self, stream: TcpStream, started: bool) {
         self.0.limit.set(self.0.limit.get().map(|limit| limit + 1));
-        self.spawn(stream, if started { Stage::Started } else { Stage::New { full: false } });
+        self.spawn(stream, if started { Stage::Started } else { Stage::New { full: false } }, false);
     }
 
     /// How many clients there may be.
@@ -451,10 +471,11 @@
         client.is_some()
     }
 
-    /// Leaves the side of the data servers what clients don't need, in steps.
+    /// Leaves the side of the data servers what clients don't need, in steps, and always what clients may not have: those
+    /// that are only turned away have a reserve.
     fn share_sockets(&self) {
         let clients = self.connected.borrow().len().next_multiple_of(STEP) + STEP;
-        let left = self.sockets - clients.clamp(self.usual, self.sockets);
+        let left = self.sockets - clients.clamp(self.usual, self.most);
         if self.left_to_servers.replace(left) != left {
             self.exchange.order(Order::Sockets(left));
         }
@@ -536,6 +557,22 @@
     }
 }
 
+/// A connection that has asked nothing yet, for as long as that is so.
+struct Unasked(Rc<Side>);
+
+impl Unasked {
+    fn new(side: &Rc<Side>) -> Self {
+        side.unasked.set(side.unasked.get() + 1);
+        Self(side.clone())
+    }
+}
+
+impl Drop for Unasked {
+    fn drop(&mut self) {
+        self.0.unasked.set(self.0.unasked.get() - 1);
+    }
+}
+
 /// A request's id, for as long as the request is open.
 struct OpenId<'s>(&'s Side, String);
 
@@ -555,12 +592,14 @@
     stage: Stage,
     /// Room for the message that comes in, where one buffer does not hold it.
     room: Option<Room>,
-    /// It has asked something that went to the exchange.
-    asked: bool,
+    /// It has asked nothing yet that went to the exchange.
+    unasked: Option<Unasked>,
     /// It stands between requests, and this process lets it go.
     leaves: bool,
     /// Its place is wanted for another.
     unwanted: Rc<Notify>,
+    /// It came where too many had asked nothing, and has to ask at once.
+    hurried: bool,
 }
 
 /// How far a connection has come.
@@ -622,9 +661,12 @@
     async fn more(&mut self, late: Option<Instant>) -> io::Result<bool> {
         let standing = match self.stage {
             _ if !self.inbound.is_empty() => Standing::Begun,
-            Stage::Started if self.asked => Standing::Between,
+            Stage::Started if self.unasked.is_none() => Standing::Between,
             _ => Standing::Silent,
         };
+        let hurries = self.hurried && standing == Standing::Silent;
+        let asks_by = hurries.then(|| self.side.exchange.clock().instant(self.came) + ANSWERED_WITHIN);
+        let late = late.into_iter().chain(asks_by).min();
         let goes = tokio::select! {
             biased;
             read = self.inbound.fill(&self.stream) => return Ok(read? > 0),
@@ -643,6 +685,8 @@
         }
         if standing == Standing::Begun {
             self.expel("08P01", "a message was not complete in time").await?;
+        } else if hurries && self.stage == Stage::Started {
+            self.reply(|out| pg::error(out, Severity::Fatal, "53300", TOO_MANY, None)).await?;
         }
         Ok(false)
     }
@@ -668,7 +712,7 @@
             match pg::startup(&body) {
                 Some(Startup::Encryption) => self.write(b"N").await?,
                 Some(Startup::Session(_)) if full => {
-                    return self.expel("53300", "sorry, too many clients already").await;
+                    return self.expel("53300", TOO_MANY).await;
                 }
                 Some(Startup::Session(_)) if *self.side.door.borrow() == Door::SentAway => {
                     return self.expel("57P03", "the proxy is out of service").await;
@@ -707,7 +751,7 @@
                 }
             }
             let between = self.inbound.is_empty();
-            let standing = if self.asked { &self.side.idle } else { &self.side.silent };
+            let standing = if self.unasked.is_none() { &self.side.idle } else { &self.side.silent };
             let _stands = between.then(|| Stands::new(standing, self.number));
             if !between && (late.is_none() || long) {
                 late = Some((Instant::now() + MESSAGE_WITHIN).min(begun + LONGEST_MESSAGE));
@@ -789,7 +833,7 @@
             session: matches!(class.need, Need::Write | Need::Causal).then_some(statement.key),
             after_unix_ms: statement.after,
         };
-        self.asked = true;
+        self.unasked = None;
         let (request, mut answer) =
             self.side.exchange.open(call, Query { message, wait_at, room: self.room.take() });
         let mut door = self.side.door.subscribe();
--- a/tests/network.rs
+++ b/tests/network.rs
@@ -448,7 +448,11 @@
     let proxy = start_within(192, 64, &[server.listed("a", "read-write", "Ready")]);
     let mut clients: Vec<_> = std::iter::repeat_with(|| greet(&proxy))
         .take_while(|(_, answer)| kinds(answer) == "RZ")
-        .map(|(client, _)| client)
+        .map(|(mut client, _)| {
+            let answer = client.ask(&read(1000));
+            assert_eq!(kinds(&answer), "TDCZ", "it has a way to its server");
+            client
+        })
         .collect();
     assert!(clients.len() < 64, "more clients than descriptors");
     let since = Instant::now();
@@ -480,19 +484,26 @@
     drop(crowd);
 }
 
-/// In a crowd silent clients go by themselves after a time, and one that is slow in what it says is not among them.
+/// Clients that say nothing have a part of the places: who comes over it has to ask at once, and is served if it does, also
+/// where it is slow in what it says.
 #[test]
-fn a_crowd_of_silent_clients_goes_and_a_slow_one_is_served() {
+fn who_says_nothing_keeps_no_place_from_who_asks() {
     let server = DataServer::start(true, ok);
     let proxy = start_within(192, 64, &[server.listed("a", "read-write", "Ready")]);
     let mut slow = Client::raw(&proxy);
     let said = [startup(), query(&write(3000))].concat();
     slow.send(&said[..9]);
-    // More than are left to clients where they come one by one: the data servers don't need these sockets.
-    let mut silent: Vec<_> = (0..26).map(|_| Client::raw(&proxy)).collect();
-    assert_eq!(silent[0].0.read(&mut [0]).expect("a clean end"), 0);
+    let mut silent: Vec<_> = (0..20).map(|_| Client::raw(&proxy)).collect();
+    let mut last = silent.pop().expect("there are twenty");
+    assert_eq!(last.0.read(&mut [0]).expect("a clean end"), 0);
+    silent[0].0.set_nonblocking(true).expect("a socket");
+    let first = silent[0].0.read(&mut [0]).map_err(|e| e.kind());
+    assert_eq!(first, Err(std::io::ErrorKind::WouldBlock), "it came while there was room for such");
     slow.send(&said[9..]);
     assert_eq!(kinds(&[slow.answer(), slow.answer()].concat()), "RZTDCZ");
+    let mut asks = Client::raw(&proxy);
+    asks.send(&[startup(), query(&read(1000))].concat());
+    assert_eq!(kinds(&[asks.answer(), asks.answer()].concat()), "RZTDCZ");
 }
 
 /// Little memory must not mean few clients: what they may hold is bounded by the buffers, not by their number.
