--- a/peers/src/fleet/stepper/troubles.rs
+++ b/peers/src/fleet/stepper/troubles.rs
@@ -115,7 +115,8 @@
             }
             let hit = |server: usize| ends.contains(&Far::Server(server));
             let p = &mut self.processes[process];
-            let idle: Vec<_> = p.idle.extract_if(|server, _| hit(*server)).collect();
+            let gone: Vec<_> = p.idle.keys().copied().filter(|server| hit(*server)).collect();
+            let idle: Vec<_> = gone.iter().filter_map(|server| p.idle.remove_entry(server)).collect();
             let out: Vec<_> = p.out.iter().filter(|(_, out)| hit(out.server)).collect();
             let out: Vec<_> = out.into_iter().map(|(key, out)| (*key, out.written)).collect();
             for (server, kept) in idle {
