--- a/peers/src/fleet/check.rs
+++ b/peers/src/fleet/check.rs
@@ -210,6 +210,20 @@
         }
     }
 
+    /// An attempt at a server ended with this answer, as its server saw it.
+    pub fn attempt_done(&mut self, id: u64, server: usize, outcome: Outcome, sent: f64) {
+        let out = self.requests.get(&id).map(|taken| &taken.out);
+        let attempt = out.and_then(|out| out.iter().find(|(_, at)| **at == server)).map(|(attempt, _)| *attempt);
+        if let Some(attempt) = attempt {
+            self.attempt_ended(id, attempt, outcome, sent);
+        }
+    }
+
+    /// A proxy closed the connection on which an attempt was out.
+    pub fn gave_up(&mut self, id: u64, server: usize, now: f64) {
+        self.attempt_done(id, server, Outcome::Timeout, now);
+    }
+
     /// A request got its final answer; `refused` if that promises that it may be asked again.
     pub fn answered(&mut self, id: u64, refused: bool, now: f64) {
         let Some(taken) = self.requests.get_mut(&id) else { return };
