Serve beside a process that stands still: a start gave up on it after a second and lost what it knew

At fault: parcel.rs inherit(), which waited 1 s and then took the process for dead, so that both served, each believing that it knew all; handover.rs run(), where the older process took the successor's place at the path again; farewell.rs, where a word that came late left the full time. Now a start waits 3.5 s, then serves beside the other (both count the worst of the other's writes, each with half), and the time of a farewell is less what the process stood.

--- a/core/src/farewell.rs
+++ b/core/src/farewell.rs
@@ -54,6 +54,8 @@
 #[derive(Debug, Clone)]
 pub struct Farewell {
     told: Duration,
+    /// When connections begin to be let go.
+    leaves: Duration,
     ends: Duration,
     connected: usize,
     /// When the last connection was let go.
@@ -65,10 +67,12 @@
 }
 
 impl Farewell {
-    /// The word came with so many clients connected; `longest` is the longest deadline of a class.
-    pub fn new(told: Duration, longest: Duration, connected: usize) -> Self {
+    /// The word came with so many clients connected; `longest` is the longest deadline of a class. Before it the process
+    /// had stood still for a while: the word may have waited for as long, and so long less is left.
+    pub fn new(told: Duration, longest: Duration, connected: usize, stood: Duration) -> Self {
         let ends = told + NOTICE + longest.min(LONGEST) + SETTLE;
-        Self { told, ends, connected, last_left: told, handed: false, shut: false }
+        let kept = (ends - told).mul_f64(KEPT).max(NOTICE).saturating_sub(stood);
+        Self { told, leaves: told + kept, ends, connected, last_left: told, handed: false, shut: false }
     }
 
     /// A connection was taken in.
@@ -98,14 +102,14 @@
             () if now >= self.ends || (self.shut && self.connected == 0) => Phase::Ended,
             () if self.handed || self.shut => Phase::Closing,
             () if self.connected == 0 && now >= self.quiet() => Phase::Closing,
-            () if now < self.leaves() => Phase::Notice,
+            () if now < self.leaves => Phase::Notice,
             () => Phase::Leaving,
         }
     }
 
     /// When the phase changes without anything else happening.
     pub fn next(&self, now: Duration) -> Duration {
-        let times = [self.leaves(), self.quiet(), self.ends];
+        let times = [self.leaves, self.quiet(), self.ends];
         times.into_iter().filter(|at| *at > now).min().unwrap_or(self.ends)
     }
 
@@ -116,8 +120,8 @@
             Standing::Begun => None,
             // A successor goes on with what has asked nothing as well.
             _ if self.handed => Some(self.told),
-            Standing::Between => Some(self.leaves()),
-            Standing::Silent => Some((since + ASKS_WITHIN).max(self.leaves()).min(self.ends)),
+            Standing::Between => Some(self.leaves),
+            Standing::Silent => Some((since + ASKS_WITHIN).max(self.leaves).min(self.ends)),
         }
     }
 
@@ -126,13 +130,8 @@
         wanted.min((self.ends - SETTLE / 3).saturating_sub(now))
     }
 
-    /// When connections begin to be let go.
-    fn leaves(&self) -> Duration {
-        self.told + (self.ends - self.told).mul_f64(KEPT).max(NOTICE)
-    }
-
     /// When nobody returns any more, if none comes before.
     fn quiet(&self) -> Duration {
-        self.last_left.max(self.told + NOTICE) + RETURNS_WITHIN
+        self.last_left.max(self.told + NOTICE.min(self.leaves - self.told)) + RETURNS_WITHIN
     }
 }
--- a/peers/src/bin/fleet-trial.rs
+++ b/peers/src/bin/fleet-trial.rs
@@ -108,13 +108,19 @@
     for (class, (offered, served)) in report.classes.iter().enumerate() {
         println!("    class {class}              {:.1} %", percent(served / offered.max(1e-9)));
     }
-    let seconds: Vec<_> =
-        report.seconds.iter().map(|(offered, served)| format!("{:.0}", percent(served / offered.max(1e-9)))).collect();
+    let seconds: Vec<_> = report
+        .seconds
+        .iter()
+        .map(|(offered, served)| format!("{:.0}", percent(served / offered.max(1e-9))))
+        .collect();
     println!("  by second              {}", seconds.join(" "));
     let Report { tries, refused, failed, unheard, attempts, handshakes, probes, .. } = report;
     println!("  tries                  {tries}: {refused} refused, {failed} failed, {unheard} unheard");
     println!("  attempts               {attempts}, {} of reads at primaries", report.reads_at_primaries);
-    println!("  new connections        {handshakes}, at most {:.1} % of a server", percent(report.handshake_share));
+    println!(
+        "  new connections        {handshakes}, at most {:.1} % of a server",
+        percent(report.handshake_share)
+    );
     println!("  probes                 {probes}");
     println!(
         "  calls for the list     {}: {} failed, the longest wait {:.2} s, {} starts",
@@ -126,7 +132,10 @@
     let told = report.last_told().map_or("never".into(), |at| format!("after {at:.2} s"));
     println!("  the last was told      {told}");
     println!("  served within 1 s      {:.1} % of the starts", percent(report.served_within(1.0)));
-    println!("  cold servers           sent at most {:.2} of what they bear, {} fell", report.cold_most, report.fell);
+    println!(
+        "  cold servers           sent at most {:.2} of what they bear, {} fell",
+        report.cold_most, report.fell
+    );
     for broken in report.broken.iter().take(10) {
         println!("  BROKEN {broken}");
     }
--- a/peers/src/fleet/check.rs
+++ b/peers/src/fleet/check.rs
@@ -48,6 +48,8 @@
     arrived: f64,
     deadline: f64,
     ended: bool,
+    /// Nobody waits for an answer any more.
+    left: bool,
     sends: u32,
     /// Attempts that are out, and where.
     out: HashMap<u32, usize>,
@@ -113,8 +115,18 @@
             _ => 0.0,
         };
         let (out, may_have_run) = (HashMap::new(), None);
-        let taken =
-            Taken { class, proxy, arrived: now, deadline, ended: false, sends: 0, out, may_have_run, mark };
+        let taken = Taken {
+            class,
+            proxy,
+            arrived: now,
+            deadline,
+            ended: false,
+            left: false,
+            sends: 0,
+            out,
+            may_have_run,
+            mark,
+        };
         self.requests.insert(id, taken);
     }
 
@@ -140,7 +152,7 @@
         let mut faults = Vec::new();
         let mut fault =
             |rule, what: &str| faults.push((rule, format!("request {id} to server {server}: {what}")));
-        if taken.ended {
+        if taken.ended && !taken.left {
             fault(Rule::Lost, "sent after its end");
         }
         if taken.sends >= self.settings.limits.attempts {
@@ -187,7 +199,8 @@
             Need::Write | Need::Eventual => return,
         };
         if position < needed && !excused {
-            let what = format!("request {id}: data {:.3} s too old", needed - position);
+            let what =
+                format!("request {id} of proxy {}: data {:.3} s too old", taken.proxy, needed - position);
             self.breaks(now, Rule::Stale, what);
         }
     }
@@ -213,7 +226,8 @@
     /// An attempt at a server ended with this answer, as its server saw it.
     pub fn attempt_done(&mut self, id: u64, server: usize, outcome: Outcome, sent: f64) {
         let out = self.requests.get(&id).map(|taken| &taken.out);
-        let attempt = out.and_then(|out| out.iter().find(|(_, at)| **at == server)).map(|(attempt, _)| *attempt);
+        let attempt =
+            out.and_then(|out| out.iter().find(|(_, at)| **at == server)).map(|(attempt, _)| *attempt);
         if let Some(attempt) = attempt {
             self.attempt_ended(id, attempt, outcome, sent);
         }
@@ -252,7 +266,7 @@
     /// Its client went away, or its proxy was killed: nothing is owed any more.
     pub fn left(&mut self, id: u64) {
         if let Some(taken) = self.requests.get_mut(&id) {
-            taken.ended = true;
+            (taken.ended, taken.left) = (true, true);
         }
     }
 
@@ -261,10 +275,12 @@
         let slack = self.settings.contract.answer_slack.as_secs_f64() + SLACK;
         let lost: Vec<_> =
             self.requests.iter().filter(|(_, t)| !t.ended && now > t.deadline + slack).collect();
-        let mut lost: Vec<_> = lost.into_iter().map(|(id, t)| (*id, t.arrived)).collect();
-        lost.sort_by_key(|(id, _)| *id);
-        for (id, arrived) in lost {
-            self.breaks(now, Rule::Lost, format!("request {id}, taken at {arrived:.3} s: no answer"));
+        let mut lost: Vec<_> = lost.into_iter().map(|(id, t)| (*id, t.arrived, t.proxy)).collect();
+        lost.sort_by_key(|(id, ..)| *id);
+        for (id, arrived, proxy) in lost {
+            let what =
+                format!("request {id} of proxy {proxy}, taken {:.3} s before: no answer", now - arrived);
+            self.breaks(now, Rule::Lost, what);
         }
     }
 
--- a/peers/src/fleet/live/clients.rs
+++ b/peers/src/fleet/live/clients.rs
@@ -49,8 +49,10 @@
     Unheard,
     /// The connection ended before a byte of it came.
     Crossed,
-    /// It ended within it, or nothing came in time.
+    /// It ended within it, or again before it.
     Unanswered,
+    /// Nothing came in time.
+    Late,
 }
 
 /// The front looks whether a proxy answers an empty query, and takes it in then.
@@ -168,38 +170,39 @@
     let done = converse(shared, wish, id, &text).await;
     let now = clock.now();
     let tried = shared.with(|world| {
+        // What a process owes while it stands still it can't give, and what one had that was killed is nobody's promise.
+        let stood = now > wish.until && world.processes.was_stalled(wish.proxy, asked_at);
+        let struck = world.processes.was_struck(wish.proxy, asked_at);
+        if stood || (struck && done.is_err()) || matches!(done, Err(Lost::Unheard)) {
+            world.checker.left(id);
+        } else if done.is_ok() {
+            world.checker.answered(id, matches!(done, Ok(Answer::Refused(_))), now);
+        }
         match done {
             Ok(Answer::Served(body)) => {
-                world.checker.answered(id, false, now);
                 if !String::from_utf8_lossy(&body).contains(&format!("{id:x}")) {
                     let what = format!("request {id}: served with what was made for another");
                     world.checker.breaks(now, Rule::Lost, what);
                 }
                 let class = world.plan.settings.classes[wish.class.0].clone();
                 world.report.served(wish, &class, now, wish.asked - START);
-                let start = world.processes.start_of(wish.proxy).and_then(|at| world.report.starts.get_mut(at));
+                let start =
+                    world.processes.start_of(wish.proxy).and_then(|at| world.report.starts.get_mut(at));
                 if let Some(start) = start {
                     start.served.get_or_insert(now - START - start.at);
                 }
                 Tried::Over
             }
             Ok(Answer::Refused(hint)) => {
-                world.checker.answered(id, true, now);
                 world.report.refused += 1;
                 Tried::Refused(hint)
             }
             Ok(Answer::Failed) => {
-                world.checker.answered(id, false, now);
                 world.report.failed += 1;
                 Tried::Failed
             }
             Err(lost) => {
                 world.report.unheard += 1;
-                let struck = world.processes.was_struck(wish.proxy, asked_at);
-                // What a proxy that was killed or stopped had is nobody's promise.
-                if struck || matches!(lost, Lost::Unheard) {
-                    world.checker.left(id);
-                }
                 let front = &mut world.fronts[wish.proxy];
                 if matches!(lost, Lost::Unheard) {
                     let since = *front.unreached.get_or_insert(now);
@@ -259,7 +262,7 @@
     loop {
         let read = tokio::select! {
             read = wire.message() => read,
-            () = clock.until(wish.until + WAITS_S) => return Err(Lost::Unanswered),
+            () = clock.until(wish.until + WAITS_S) => return Err(Lost::Late),
         };
         let (kind, body) = match read {
             Ok(read) => read,
--- a/peers/src/fleet/live/config.rs
+++ b/peers/src/fleet/live/config.rs
@@ -121,7 +121,12 @@
 }
 
 /// An entry of the list as one proxy gets it.
-pub fn target(entry: &Entry, endpoint: std::net::SocketAddr, unix_ms: impl Fn(f64) -> f64, roles: bool) -> Value {
+pub fn target(
+    entry: &Entry,
+    endpoint: std::net::SocketAddr,
+    unix_ms: impl Fn(f64) -> f64,
+    roles: bool,
+) -> Value {
     let mut target = json!({
         "uid": format!("s{}", entry.server.0),
         "endpoint": endpoint,
--- a/peers/src/fleet/live/mod.rs
+++ b/peers/src/fleet/live/mod.rs
@@ -217,7 +217,8 @@
     // All sockets stand before anything starts, so that the clock begins with the first process.
     shared.with(|world| world.clock = Clock::start());
     for proxy in 0..plan.proxies {
-        let (shared, at) = (shared.clone(), shared.with(|world| world.plan.start_s * world.rng.random::<f64>()));
+        let (shared, at) =
+            (shared.clone(), shared.with(|world| world.plan.start_s * world.rng.random::<f64>()));
         spawn_local(async move {
             let clock = shared.clock();
             clock.until(START + at).await;
@@ -336,9 +337,13 @@
         }
         Trouble::Stall(pick, for_s) => {
             let proxies = proxies_of(pick);
-            proxies.iter().for_each(|proxy| shared.with(|world| world.processes.stall(*proxy, true)));
+            let stall = |stop| {
+                let now = clock.now();
+                shared.with(|world| proxies.iter().for_each(|p| world.processes.stall(*p, stop, now)));
+            };
+            stall(true);
             clock.until(now + for_s).await;
-            proxies.iter().for_each(|proxy| shared.with(|world| world.processes.stall(*proxy, false)));
+            stall(false);
         }
         Trouble::Reload(pick) => {
             let proxies = proxies_of(pick);
--- a/peers/src/fleet/live/processes.rs
+++ b/peers/src/fleet/live/processes.rs
@@ -48,6 +48,8 @@
     started: u32,
     /// When a process of it was last killed.
     struck: Option<f64>,
+    /// Until when it last stood still.
+    stood: Option<f64>,
 }
 
 /// All of them.
@@ -67,7 +69,14 @@
             let folder = all.place.folder.join(format!("p{proxy}"));
             std::fs::create_dir_all(&folder)?;
             let listen = all.free_address()?;
-            all.proxies.push(Proxy { folder, listen, processes: Vec::new(), started: 0, struck: None });
+            all.proxies.push(Proxy {
+                folder,
+                listen,
+                processes: Vec::new(),
+                started: 0,
+                struck: None,
+                stood: None,
+            });
         }
         Ok(all)
     }
@@ -127,9 +136,15 @@
         }
     }
 
+    /// Whether a proxy's processes have stood still since then.
+    pub fn was_stalled(&self, proxy: usize, since: f64) -> bool {
+        self.proxies[proxy].stood.is_some_and(|until| until >= since)
+    }
+
     /// Stops a proxy's processes, or lets them go on.
-    pub fn stall(&self, proxy: usize, stop: bool) {
+    pub fn stall(&mut self, proxy: usize, stop: bool, now: f64) {
         self.signal(proxy, if stop { Signal::STOP } else { Signal::CONT });
+        self.proxies[proxy].stood = Some(if stop { f64::INFINITY } else { now });
     }
 
     /// Has a proxy read its configuration again.
@@ -259,7 +274,9 @@
         return;
     }
     start(&shared, proxy);
-    let Some(ops) = shared.with(|world| Some(world.processes.proxies[proxy].processes.get(1)?.ops)) else { return };
+    let Some(ops) = shared.with(|world| Some(world.processes.proxies[proxy].processes.get(1)?.ops)) else {
+        return;
+    };
     while !matches!(call(ops, "GET /control/ready").await, Ok(200)) {
         if clock.now() > began + READY_S {
             shared.with(|world| {
--- a/peers/src/fleet/live/service.rs
+++ b/peers/src/fleet/live/service.rs
@@ -67,7 +67,8 @@
             start.told.get_or_insert(now - START - start.at);
         }
     });
-    let from = asked.split("from=").nth(1).and_then(|rest| rest.split([' ', '&']).next()?.parse::<usize>().ok());
+    let from =
+        asked.split("from=").nth(1).and_then(|rest| rest.split([' ', '&']).next()?.parse::<usize>().ok());
     match from.filter(|_| asked.contains("watch=1")) {
         Some(from) => watch(shared, proxy, &mut wire, from.checked_sub(1)).await,
         None => {
@@ -122,9 +123,8 @@
     let roles = world.plan.settings.role_column != RoleColumn::Silent;
     let unix_ms = |at| world.clock.unix_ms(at);
     let nowhere = std::net::SocketAddr::from(([127, 0, 0, 1], 9));
-    let endpoint = |entry: &Entry| {
-        world.endpoints.get(&(proxy, entry.server.0 as usize)).copied().unwrap_or(nowhere)
-    };
+    let endpoint =
+        |entry: &Entry| world.endpoints.get(&(proxy, entry.server.0 as usize)).copied().unwrap_or(nowhere);
     let targets: Vec<_> = entries.iter().map(|e| target(e, endpoint(e), unix_ms, roles)).collect();
     json!({ "rev": version + 1, "all": all, "targets": targets })
 }
--- a/peers/src/fleet/scenario.rs
+++ b/peers/src/fleet/scenario.rs
@@ -10,12 +10,12 @@
 use pipittack_core::failover::Tuning;
 use pipittack_core::interface::*;
 
+use super::copies;
 use super::directory::Service;
 use super::links::Fault;
 use super::load::{Habits, Kind};
 use super::machine::{State, Traits};
 use super::plan::{End, Pick, Plan, Remembered, Trouble};
-use super::copies;
 
 /// A fault of a script: its place and what was expected there.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,14 +22,14 @@
 use pipittack::net::exchange::{Clock, Exchange, Order};
 use pipittack::net::handover::{self, Shares};
 use pipittack::net::ops::{self, Bans, Control};
-use pipittack::net::parcel::{self, Greeting};
+use pipittack::net::parcel::{self, Before, Greeting};
 use pipittack::net::servers::{self, PgExchange};
 use pipittack::operators::Operators;
 use pipittack::settings::{Config, Env, Malformed, SOCKETS_LEAST};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
-use tokio::time::timeout;
+use tokio::time::{timeout_at, Instant};
 
 /// Descriptors for all that is neither a client nor a data server: standard streams, the listener, discovery,
 /// the runtime's own, and clients that are turned away.
@@ -37,7 +37,7 @@
 /// Part of the rest that is for clients, and that which they may have where they come in crowds; what they don't
 /// have is for data servers.
 const CLIENT_SHARE: (f64, f64) = (0.55, 0.86);
-/// Time after which a process is ready without news of discovery.
+/// Time after its start at which a process is ready without news of discovery.
 const LISTED_WITHIN: Duration = Duration::from_millis(4500);
 /// Part of the memory that is for bytes on their way; the rest is for the program and all it keeps.
 const BUFFER_SHARE: f64 = 0.7;
@@ -147,7 +147,7 @@
 }
 
 async fn serve(start: &Start, (mut config, settings, env): (Config, Settings, Env)) -> Result<(), String> {
-    let clock = Clock::start();
+    let (clock, born) = (Clock::start(), Instant::now());
     let pool = Pool::new((config.limits.memory_mb as f64 * 1e6 * BUFFER_SHARE) as usize);
     let seed = config.seed().map_err(|e| e.to_string())?;
     let sockets = sockets(config.limits.sockets)?;
@@ -162,16 +162,16 @@
         start.state_dir.as_ref().map(|dir| dir.join(name))
     };
     let (path, greeting) = (kept("2.sock"), Greeting::of(&config.name));
-    let heritage = match (&path, kept("sock")) {
+    let before = match (&path, kept("sock")) {
         (Some(path), Some(early)) => parcel::inherit(path, &early, &greeting).await,
-        _ => None,
+        _ => Before::Nobody,
     };
-    let (listener, mut heritage) = match heritage {
-        Some((listener, heritage)) => (listener, Some(heritage)),
-        None => {
-            let listener = clients::listen(config.listen);
-            (listener.map_err(|e| format!("can't listen at {}: {e}", config.listen))?, None)
-        }
+    let listen =
+        || clients::listen(config.listen).map_err(|e| format!("can't listen at {}: {e}", config.listen));
+    let (listener, mut heritage, deaf) = match before {
+        Before::Hands(listener, heritage) => (listener, Some(heritage), None),
+        Before::Deaf(stream) => (listen()?, None, Some(stream)),
+        Before::Nobody => (listen()?, None, None),
     };
     let ops = match start.ops.or(config.ops) {
         Some(at) => Some(ops::listen(at).await.map_err(|e| format!("can't listen at {at}: {e}"))?),
@@ -236,16 +236,21 @@
     };
     let (door, opened) = (clients.clone(), control.clone());
     spawn_local(async move {
+        let listed_by = born + LISTED_WITHIN;
         // A successor lets the other process serve until it can do so itself.
         if let Some(mut heritage) = heritage {
             heritage.join(&shares);
-            let _ = timeout(LISTED_WITHIN, opened.listed()).await;
+            let _ = timeout_at(listed_by, opened.listed()).await;
             heritage.enter(&shares).await;
             opened.ready.set(true);
             spawn_local(async move { heritage.follow(&shares).await });
         } else {
+            if let Some(stream) = deaf {
+                let shares = shares.clone();
+                spawn_local(async move { shares.outlast(stream).await });
+            }
             spawn_local(async move {
-                let _ = timeout(LISTED_WITHIN, opened.listed()).await;
+                let _ = timeout_at(listed_by, opened.listed()).await;
                 opened.ready.set(true);
             });
         }
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -19,7 +19,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::task::JoinHandle;
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{sleep_until, timeout, Instant, MissedTickBehavior};
 
 use super::buffers::{self, write_all, Chain, Pool, Room};
 use super::exchange::{Call, Final, Order};
@@ -41,6 +41,8 @@
 const SILENT: f64 = 0.25;
 /// Time between looks for them.
 const SWEEP_EVERY: Duration = Duration::from_millis(50);
+/// Time by which a look comes late where the process has stood still.
+const STOOD_LEAST: Duration = Duration::from_millis(150);
 /// Clients in whose steps sockets are shared with the other side.
 const STEP: usize = 4;
 /// Time in which a message of any length must have come.
@@ -119,6 +121,8 @@
     yields: watch::Sender<bool>,
     /// Takes over those that stand between requests, once the door is closed.
     successor: RefCell<Option<Successor>>,
+    /// A newer process has a door of its own at the same address: whoever is let go finds that.
+    relieved: Cell<bool>,
     /// Those that have asked nothing yet, and those that stand between requests, each with since when.
     silent: Since,
     idle: Since,
@@ -128,6 +132,9 @@
     turned_away: Cell<(u64, Option<Instant>)>,
     /// Ids of the requests that are open.
     ids: RefCell<HashSet<String>>,
+    /// When it last looked for connections to close, and when it last went on after it had stood still for so long.
+    looked: Cell<Instant>,
+    woke: Cell<(Instant, Duration)>,
     /// How this process ends, once it was told to.
     farewell: RefCell<Option<Farewell>>,
     /// Something has happened that may bring that end closer.
@@ -191,11 +198,14 @@
             limit: Cell::default(),
             yields: watch::Sender::new(false),
             successor: RefCell::default(),
+            relieved: Cell::new(false),
             silent: RefCell::default(),
             idle: RefCell::default(),
             unasked: Cell::new(0),
             turned_away: Cell::new((0, None)),
             ids: RefCell::default(),
+            looked: Cell::new(Instant::now()),
+            woke: Cell::new((Instant::now(), Duration::ZERO)),
             farewell: RefCell::default(),
             nearer: Notify::new(),
             door: watch::Sender::new(Door::Open),
@@ -208,9 +218,13 @@
     pub async fn run(&self, listener: TcpListener, holds: Option<JoinHandle<()>>) {
         let (mut door, mut yields) = (self.0.door.subscribe(), self.0.yields.subscribe());
         let mut sweep = tokio::time::interval(SWEEP_EVERY);
+        sweep.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             tokio::select! {
-                _ = sweep.tick() => while self.is_crowded() && self.0.make_room() {},
+                _ = sweep.tick() => {
+                    self.0.look();
+                    while self.is_crowded() && self.0.make_room() {}
+                }
                 accepted = listener.accept(), if !*yields.borrow() => self.admit(accepted).await,
                 Ok(()) = yields.changed() => {}
                 _ = door.wait_for(|door| *door >= Door::Closed) => break,
@@ -255,7 +269,8 @@
         let side = &*self.0;
         let clock = side.exchange.clock();
         let connected = side.connected.borrow().len();
-        side.farewell.replace(Some(Farewell::new(clock.now(), side.exchange.longest(), connected)));
+        let farewell = Farewell::new(clock.now(), side.exchange.longest(), connected, side.stood());
+        side.farewell.replace(Some(farewell));
         loop {
             let mut nearer = std::pin::pin!(side.nearer.notified());
             nearer.as_mut().enable();
@@ -263,7 +278,7 @@
             let (phase, next) = {
                 let mut farewell = side.farewell.borrow_mut();
                 let farewell = farewell.as_mut().expect("it was just begun, and none takes it");
-                farewell.set_handed(self.has_successor());
+                farewell.set_handed(self.has_successor() || self.0.relieved.get());
                 (farewell.phase(now), farewell.next(now))
             };
             match phase {
@@ -447,6 +462,12 @@
         self.0.nearer.notify_waiters();
     }
 
+    /// Whether a newer process has a door of its own.
+    pub fn set_relieved(&self, relieved: bool) {
+        self.0.relieved.set(relieved);
+        self.0.nearer.notify_waiters();
+    }
+
     /// Whether there is one.
     pub fn has_successor(&self) -> bool {
         self.0.successor.borrow().is_some()
@@ -454,6 +475,25 @@
 }
 
 impl Side {
+    /// Notes that the process goes on, and whether it had stood still.
+    fn look(&self) {
+        let late = self.looked.replace(Instant::now()).elapsed().saturating_sub(SWEEP_EVERY);
+        if late >= STOOD_LEAST {
+            self.woke.set((Instant::now(), late));
+        }
+    }
+
+    /// For how long the process has stood still up to this moment.
+    fn stood(&self) -> Duration {
+        self.look();
+        let (woke, stood) = self.woke.get();
+        if woke.elapsed() < SWEEP_EVERY {
+            stood
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Closes the client that has longest stood without an open request, if any may be closed: one that has
     /// asked nothing yet, else one between requests. Guards against clients that connect and stay, and keep
     /// out those that have something to ask.
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -8,7 +8,9 @@
 
 use std::io;
 use std::os::fd::{AsFd, OwnedFd};
+use std::os::unix::fs::MetadataExt;
 use std::path::PathBuf;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,6 +33,8 @@
 const MOVED_WITHIN: Duration = Duration::from_secs(1);
 /// Time between tries to wait for a successor.
 const AGAIN_AFTER: Duration = Duration::from_secs(10);
+/// Time for which a process that refuses to hand over may go on: until it is told to end, and its longest end.
+const DEAF_FOR: Duration = Duration::from_secs(10);
 
 /// What is divided while there are two processes.
 pub struct Shares {
@@ -52,6 +56,26 @@
         self.exchange.order(Order::Share(part));
     }
 
+    /// Another process serves as well, and neither can hear the other: each has its half, and counts the worst of what the
+    /// other may have acknowledged.
+    fn serve_beside(&self) {
+        self.exchange.part();
+        self.exchange.blind();
+        self.clients.set_limit(Some((self.clients.limit() as f64 * HALF) as usize));
+        self.divide(true);
+    }
+
+    /// Serves beside a process that could not hand over, until that is gone.
+    pub async fn outlast(&self, stream: Option<UnixStream>) {
+        self.serve_beside();
+        match stream {
+            Some(stream) => ended(&stream).await,
+            None => tokio::time::sleep(DEAF_FOR).await,
+        }
+        self.take_all();
+        log::info!("the process before this one is gone");
+    }
+
     /// The other process is gone.
     fn take_all(&self) {
         self.clients.take_all();
@@ -138,21 +162,39 @@
     }
 }
 
+/// The place where a process waits for its successor.
+struct Post {
+    path: PathBuf,
+    /// The file that it has put there.
+    own: Option<u64>,
+}
+
+impl Post {
+    /// Waits for a successor. The newest process has the place: one before it takes it again only if that is gone.
+    async fn wait(&mut self) -> io::Result<UnixStream> {
+        let there = std::fs::metadata(&self.path).map(|file| file.ino()).ok();
+        let another = self.own.is_some() && there.is_some() && there != self.own;
+        if another && UnixStream::connect(&self.path).await.is_ok() {
+            return Err(io::Error::new(io::ErrorKind::AddrInUse, "a newer process waits there"));
+        }
+        let _ = std::fs::remove_file(&self.path); // what a process that is gone left there
+        let waits = UnixListener::bind(&self.path)?;
+        self.own = std::fs::metadata(&self.path).map(|file| file.ino()).ok();
+        waits.accept().await.map(|(stream, _)| stream)
+    }
+}
+
 /// Waits for successors at a path, one after another. Never returns.
 pub async fn run(path: PathBuf, greeting: Greeting, listener: OwnedFd, shares: Rc<Shares>) {
+    let mut post = Post { path, own: None };
     loop {
-        let _ = std::fs::remove_file(&path); // what a process that is gone left there
-        let successor = match UnixListener::bind(&path) {
-            Ok(waits) => waits.accept().await.map(|(stream, _)| stream),
-            Err(e) => Err(e),
-        };
-        match successor {
+        match post.wait().await {
             Ok(successor) => match greeted(&successor, &greeting).await {
                 Ok(()) => succeed(Rc::new(successor), &listener, &shares).await,
                 Err(e) => log::warn!("who came as a successor is none: {e}"),
             },
             Err(e) => {
-                log::warn!("can't wait for a successor at {}: {e}", path.display());
+                log::warn!("can't wait for a successor at {}: {e}", post.path.display());
                 tokio::time::sleep(AGAIN_AFTER).await;
             }
         }
@@ -163,23 +205,42 @@
 async fn succeed(successor: Rc<UnixStream>, listener: &OwnedFd, shares: &Shares) {
     log::info!("a successor has come");
     let done = async {
-        hand_over(&successor, listener, shares).await?;
-        let parcel = receive(&successor).await?.ok_or(io::ErrorKind::UnexpectedEof)??;
-        if parcel.kind != Kind::Serves {
-            return Err(io::Error::other(format!("a parcel out of its turn: {:?}", parcel.kind)));
+        let mut word = pin!(receive(&successor));
+        let word = tokio::select! {
+            biased;
+            // One that has waited for too long has said so by now.
+            word = &mut word => word,
+            handed = hand_over(&successor, listener, shares) => {
+                handed?;
+                word.await
+            }
+        };
+        let parcel = word?.ok_or(io::ErrorKind::UnexpectedEof)??;
+        match parcel.kind {
+            Kind::Serves => {}
+            Kind::Alone => return Ok(false),
+            other => return Err(io::Error::other(format!("a parcel out of its turn: {other:?}"))),
         }
         // From now on it takes who comes. Places are divided by how many are here, and move with each that goes over.
         let (limit, kept) = (shares.clients.limit(), shares.clients.yield_door());
         shares.divide(true);
         log::info!("the successor serves; this process keeps {kept} clients");
         let places = (limit - kept) as u32;
-        send(&successor, Kind::Places, &places.to_be_bytes(), None).await
+        send(&successor, Kind::Places, &places.to_be_bytes(), None).await?;
+        Ok(true)
     };
     match done.await {
-        Ok(()) => {
+        Ok(true) => {
             shares.clients.set_successor(Some(Successor(successor.clone())));
             ended(&successor).await;
         }
+        Ok(false) => {
+            log::warn!("the successor has waited for too long: it serves beside this process, and takes nothing over");
+            shares.serve_beside();
+            shares.clients.set_relieved(true);
+            ended(&successor).await;
+            shares.clients.set_relieved(false);
+        }
         Err(e) => log::warn!("the successor can't take over: {e}"),
     }
     shares.clients.set_successor(None);
--- a/src/net/parcel.rs
+++ b/src/net/parcel.rs
@@ -27,8 +27,11 @@
 
 /// The version of all that is said here. Fields may be added to what is told; what changes its meaning changes this.
 const VERSION: u32 = 2;
-/// Time within which a running process must have handed over its listener, and a successor said who it is.
-const HANDED_WITHIN: Duration = Duration::from_secs(1);
+/// Time within which a running process must have handed over its listener: it may stand still for a while, and a start
+/// has some seconds.
+const HANDED_WITHIN: Duration = Duration::from_millis(3500);
+/// Time within which who comes as a successor must have said who it is.
+const GREETED_WITHIN: Duration = Duration::from_secs(1);
 /// Bytes of a parcel at the most.
 const PARCEL_MOST: u32 = 16 << 20;
 /// Bytes in which an earlier build tells where servers stand, at the most.
@@ -52,18 +55,21 @@
     Serves,
     /// So many clients it may have until it is told more; the process before it takes none from now on.
     Places,
+    /// The successor has waited for too long: it serves beside the process that runs, and takes nothing over.
+    Alone,
     /// A client's connection that stands between requests; whether its startup is done.
     Client,
 }
 
 impl Kind {
-    const ALL: [(Self, u8, bool); 7] = [
+    const ALL: [(Self, u8, bool); 8] = [
         (Self::Greeting, b'G', false),
         (Self::Door, b'D', true),
         (Self::Words, b'W', true),
         (Self::State, b'S', false),
         (Self::Serves, b'R', false),
         (Self::Places, b'P', false),
+        (Self::Alone, b'A', false),
         (Self::Client, b'C', true),
     ];
 
@@ -258,7 +264,7 @@
     pub state: Option<State>,
     /// Where both tell what happens.
     pub words: Option<OwnedFd>,
-    pub(super) stream: UnixStream,
+    pub(super) stream: Rc<UnixStream>,
 }
 
 impl Inheritance {
@@ -268,29 +274,57 @@
     }
 }
 
+/// What a process finds of the one before it.
+pub enum Before {
+    /// There is none.
+    Nobody,
+    /// It gives its door, and what it knows.
+    Hands(TcpListener, Inheritance),
+    /// One runs, and can't be heard. It ends with this stream, where there is one.
+    Deaf(Option<UnixStream>),
+}
+
 /// Asks the process that runs, if one does, for the clients' door; at `early` where it is of an earlier build. What a
 /// killed process left is no hindrance.
-pub async fn inherit(path: &Path, early: &Path, greeting: &Greeting) -> Option<(TcpListener, Inheritance)> {
-    let handed = if let Ok(stream) = UnixStream::connect(path).await {
-        timeout(HANDED_WITHIN, ask(stream, greeting)).await
+pub async fn inherit(path: &Path, early: &Path, greeting: &Greeting) -> Before {
+    let (result, stream) = if let Ok(stream) = UnixStream::connect(path).await {
+        let stream = Rc::new(stream);
+        let result = match timeout(HANDED_WITHIN, ask(&stream, greeting)).await {
+            Ok(Ok((fd, state, words))) => {
+                let stream = stream.clone();
+                Ok((fd, Inheritance { places: None, state, words, stream }))
+            }
+            Ok(Err(e)) => Err(e),
+            // It is there, and stands still: it is told for when it goes on.
+            Err(late) => send(&stream, Kind::Alone, &[], None).await.and(Err(late.into())),
+        };
+        (result, Some(stream))
+    } else if let Ok(stream) = UnixStream::connect(early).await {
+        (timeout(HANDED_WITHIN, ask_early(stream)).await.unwrap_or_else(|late| Err(late.into())), None)
     } else {
-        let stream = UnixStream::connect(early).await.ok()?;
-        timeout(HANDED_WITHIN, ask_early(stream)).await
+        return Before::Nobody;
     };
-    let done = handed.unwrap_or_else(|late| Err(late.into())).and_then(|(fd, inheritance)| {
+    let done = result.and_then(|(fd, inheritance)| {
         let listener = std::net::TcpListener::from(fd);
         listener.set_nonblocking(true)?;
-        Ok((TcpListener::from_std(listener)?, inheritance))
+        Ok(Before::Hands(TcpListener::from_std(listener)?, inheritance))
     });
-    done.inspect_err(|e| log::warn!("the process that runs does not hand over its listener: {e}")).ok()
+    done.unwrap_or_else(|e| {
+        log::warn!("the process that runs does not hand over its listener: {e}");
+        let stream = stream.and_then(Rc::into_inner).filter(|_| e.kind() == io::ErrorKind::TimedOut);
+        Before::Deaf(stream)
+    })
 }
 
-async fn ask(stream: UnixStream, greeting: &Greeting) -> io::Result<(OwnedFd, Inheritance)> {
+/// The door, what is known, and the channel on which both tell what happens.
+type Handed = (OwnedFd, Option<State>, Option<OwnedFd>);
+
+async fn ask(stream: &UnixStream, greeting: &Greeting) -> io::Result<Handed> {
     let content = serde_json::to_vec(greeting)?;
-    send(&stream, Kind::Greeting, &content, None).await?;
+    send(stream, Kind::Greeting, &content, None).await?;
     let (mut door, mut words) = (None, None);
     loop {
-        let parcel = receive(&stream).await?.ok_or(io::ErrorKind::UnexpectedEof)??;
+        let parcel = receive(stream).await?.ok_or(io::ErrorKind::UnexpectedEof)??;
         match parcel.kind {
             Kind::Door => door = parcel.fd,
             Kind::Words => words = parcel.fd,
@@ -298,7 +332,7 @@
                 let fd = door.ok_or_else(|| fault("no door came before what is known"))?;
                 let state = State::decode(&parcel.content);
                 let state = state.inspect_err(|e| log::warn!("what is known can't be taken over: {e}")).ok();
-                return Ok((fd, Inheritance { places: None, state, words, stream }));
+                return Ok((fd, state, words));
             }
             _ => return Err(fault("a parcel out of its turn")),
         }
@@ -311,7 +345,7 @@
         let parcel = receive(stream).await?.ok_or(io::ErrorKind::UnexpectedEof)??;
         Ok::<Greeting, io::Error>(serde_json::from_slice(&parcel.content)?)
     };
-    match timeout(HANDED_WITHIN, greeting).await?? {
+    match timeout(GREETED_WITHIN, greeting).await?? {
         greeting if greeting == *own => Ok(()),
         greeting => Err(fault(&format!(
             "{} in version {} is no successor of {} in version {VERSION}",
@@ -360,7 +394,8 @@
     let servers = stands.iter().map(EarlyStand::stood).collect();
     let heritage = Heritage { servers, ..Heritage::default() };
     let state = State { heritage, ..State::default() };
-    Ok((fd, Inheritance { places: Some(places as usize), state: Some(state), words: None, stream }))
+    let (places, state, stream) = (Some(places as usize), Some(state), Rc::new(stream));
+    Ok((fd, Inheritance { places, state, words: None, stream }))
 }
 
 pub(super) async fn receive_early(stream: &UnixStream) -> io::Result<Option<(u8, u32, OwnedFd)>> {
@@ -375,10 +410,11 @@
     }
 }
 
-/// Waits for the end of a stream on which nothing is said.
+/// Waits for the end of a stream; whatever is still said on it counts no more.
 pub(super) async fn ended(stream: &UnixStream) {
     while stream.readable().await.is_ok() {
-        match stream.try_read(&mut [0]) {
+        match stream.try_read(&mut [0; 4096]) {
+            Ok(n) if n > 0 => {}
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
             _ => return,
         }
