Doubt what is known of sessions after a standstill, and keep the way to a process beside: no stale read

By their logs: a process that was told to end in the moment in which it woke dropped the way to the successor that serves beside it (clients.rs run(), which ends the task that has it), 0.7 s before its own end; the successor took it for gone and believed its marks again. And what such a process reads first is decided before it has looked who waits for it. Now the clients' side holds the way to a process beside until the end, as it does with a successor; and a step that comes 2 s after the one before raises the floor of sessions for 0.5 s (Word::Doubt, sessions.rs): they may have written just now. tests/exchange.rs and sessions.rs fail without the second.

--- a/core/src/heritage.rs
+++ b/core/src/heritage.rs
@@ -5,6 +5,8 @@
 //! how another one takes it over; times are seconds on the giver's clock until they are shifted. It must never make
 //! a server look fresher, warmer or less busy than the giver knew it to be, nor believe a figure that can't be.
 
+use std::time::Duration;
+
 use serde::{Deserialize, Serialize};
 
 use crate::decide::Gateway;
@@ -65,6 +67,9 @@
     Withdrawn(ServerId),
     /// From now on, or until now, what the other one acknowledges can't be heard.
     Blind(bool),
+    /// For this long, another process may serve that was not heard yet: this one stood still, and one that was started
+    /// meanwhile may have taken it for dead.
+    Doubt(Duration),
 }
 
 impl Heritage {
@@ -151,6 +156,7 @@
         match word {
             Word::Wrote { session, commit } => self.sessions.wrote(session, commit),
             Word::Blind(blind) => self.sessions.set_blind(blind, self.now),
+            Word::Doubt(long) => self.sessions.doubt(self.now + long.as_secs_f64()),
             Word::Withdrawn(id) => {
                 self.servers.entry(id).and_modify(|server| server.barred = true);
                 self.groups.values_mut().for_each(|group| group.set.withdraws(id, self.now, true));
--- a/core/src/sessions.rs
+++ b/core/src/sessions.rs
@@ -60,7 +60,8 @@
             return now;
         }
         let mark = session.and_then(|session| self.marks.get(session)).copied().unwrap_or(0.0);
-        mark.max(self.floor())
+        // A floor that lies ahead stands for whatever was written up to this moment.
+        mark.max(self.floor().min(now))
     }
 
     /// All servers that may be read from have passed a position: what was committed by then matters no more to any of
@@ -100,6 +101,11 @@
         }
     }
 
+    /// Up to `until`, another process may serve that was not heard yet.
+    pub fn doubt(&mut self, until: f64) {
+        self.floor = self.floor.max(until);
+    }
+
     /// What a session without a mark must see.
     pub fn floor(&self) -> f64 {
         self.floor.max(self.start.unwrap_or(0.0))
@@ -148,6 +154,17 @@
         assert_eq!(sessions.required(None, 21.0), 14.0, "it was not blind again");
     }
 
+    #[test]
+    fn while_in_doubt_every_session_may_have_written_just_now() {
+        let mut sessions = Sessions::default();
+        sessions.begin(10.0);
+        sessions.wrote("a".into(), 11.0);
+        sessions.doubt(12.5);
+        assert_eq!([12.0, 12.4, 13.0].map(|now| sessions.required(Some("a"), now)), [12.0, 12.4, 12.5]);
+        sessions.wrote("a".into(), 12.6);
+        assert_eq!(sessions.required(Some("a"), 13.0), 12.6);
+    }
+
     #[test]
     fn a_flood_of_sessions_keeps_to_its_bytes_and_forgets_the_oldest() {
         let mut sessions = Sessions::default();
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -121,8 +121,9 @@
     yields: watch::Sender<bool>,
     /// Takes over those that stand between requests, once the door is closed.
     successor: RefCell<Option<Successor>>,
-    /// A newer process has a door of its own at the same address: whoever is let go finds that.
-    relieved: Cell<bool>,
+    /// A newer process that has a door of its own at the same address: whoever is let go finds that. It takes this one
+    /// for gone when it is let go of.
+    beside: RefCell<Option<Successor>>,
     /// Those that have asked nothing yet, and those that stand between requests, each with since when.
     silent: Since,
     idle: Since,
@@ -198,7 +199,7 @@
             limit: Cell::default(),
             yields: watch::Sender::new(false),
             successor: RefCell::default(),
-            relieved: Cell::new(false),
+            beside: RefCell::default(),
             silent: RefCell::default(),
             idle: RefCell::default(),
             unasked: Cell::new(0),
@@ -278,7 +279,7 @@
             let (phase, next) = {
                 let mut farewell = side.farewell.borrow_mut();
                 let farewell = farewell.as_mut().expect("it was just begun, and none takes it");
-                farewell.set_handed(self.has_successor() || self.0.relieved.get());
+                farewell.set_handed(self.has_successor() || self.0.beside.borrow().is_some());
                 (farewell.phase(now), farewell.next(now))
             };
             match phase {
@@ -462,9 +463,9 @@
         self.0.nearer.notify_waiters();
     }
 
-    /// Whether a newer process has a door of its own.
-    pub fn set_relieved(&self, relieved: bool) {
-        self.0.relieved.set(relieved);
+    /// A newer process has a door of its own, or it is gone.
+    pub fn set_beside(&self, other: Option<Successor>) {
+        self.0.beside.replace(other);
         self.0.nearer.notify_waiters();
     }
 
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -31,6 +31,12 @@
 }
 
 const BEFORE_START: Duration = Duration::from_secs(3600);
+/// The module is stepped at least so often.
+const IDLE: Duration = Duration::from_secs(1);
+/// Time between two steps after which the process has stood still; less than a successor waits for it.
+const STOOD_STILL: Duration = Duration::from_secs(2);
+/// Time in which it then finds out who waits for it.
+const DOUBTS_FOR: Duration = Duration::from_millis(500);
 
 impl Clock {
     /// Reads Unix time.
@@ -206,6 +212,8 @@
     keeps_marks: bool,
     events: Vec<Event>,
     actions: Vec<Action>,
+    /// When the module was last stepped.
+    stepped: Duration,
     open: HashMap<RequestId, Open<Q, A>>,
     out: HashMap<Key, Out>,
     timers: BTreeSet<(Duration, TimerId)>,
@@ -277,6 +285,7 @@
             gateway: Gateway::new(settings, seed)?,
             events: Vec::new(),
             actions: Vec::new(),
+            stepped: clock.now(),
             open: HashMap::new(),
             out: HashMap::new(),
             timers: BTreeSet::new(),
@@ -531,7 +540,7 @@
     pub async fn run(&self) {
         loop {
             let timer = self.0.books.borrow().timers.first().map(|(at, _)| self.0.clock.instant(*at));
-            let idle = Instant::now() + Duration::from_secs(1);
+            let idle = Instant::now() + IDLE;
             tokio::select! {
                 () = self.0.news.notified() => {}
                 () = tokio::time::sleep_until(timer.unwrap_or(idle)) => {}
@@ -546,8 +555,12 @@
         let now = self.0.clock.now();
         let mut books = self.0.books.borrow_mut();
         let books = &mut *books;
-        // What the other process was told before a request came here comes before it.
-        let words = self.0.twin.borrow().as_ref().map(|twin| twin.hear()).unwrap_or_default();
+        // What the other process was told before a request came here comes before it, and so does what it may have been.
+        let mut words = self.0.twin.borrow().as_ref().map(|twin| twin.hear()).unwrap_or_default();
+        if now.saturating_sub(books.stepped) > STOOD_STILL {
+            words.push(Word::Doubt(DOUBTS_FOR));
+        }
+        books.stepped = now;
         books.events.splice(0..0, words.into_iter().map(Event::Told));
         while let Some((at, id)) = books.timers.first().copied().filter(|(at, _)| *at <= now) {
             books.timers.remove(&(at, id));
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -237,9 +237,9 @@
         Ok(false) => {
             log::warn!("the successor has waited for too long: it serves beside this process, and takes nothing over");
             shares.serve_beside();
-            shares.clients.set_relieved(true);
+            shares.clients.set_beside(Some(Successor(successor.clone())));
             ended(&successor).await;
-            shares.clients.set_relieved(false);
+            shares.clients.set_beside(None);
         }
         Err(e) => log::warn!("the successor can't take over: {e}"),
     }
--- a/src/net/twin.rs
+++ b/src/net/twin.rs
@@ -118,7 +118,7 @@
                     self.say(&Said::Withdrawn { uid: uid.to_owned() });
                 }
             }
-            Word::Blind(_) => {} // it finds that out by itself
+            Word::Blind(_) | Word::Doubt(_) => {} // it finds that out by itself
         }
     }
 
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -248,3 +248,23 @@
     let marks = exchange.heritage().marks;
     assert_eq!(marks, [("s".to_owned(), commit.as_secs_f64())]);
 }
+
+/// A process that stood still can't know who serves beside it by now: until it has found out, every session may have
+/// written just now. One that had only nothing to do has stepped all the same.
+#[tokio::test(start_paused = true)]
+async fn a_process_that_stood_still_doubts_what_it_knows_of_sessions() {
+    let settings = Settings { session_marks: SessionMarks::Kept, ..settings() };
+    let parts: Parts<&str, &str> = Exchange::new(settings, 7, Clock::start()).expect("valid settings");
+    let (exchange, ..) = parts;
+    exchange.listed(View::Remembered(vec![entry(1, true), entry(2, false)]), []);
+    let begun = exchange.heritage().floor;
+    for idle in [ms(1000), ms(1500)] {
+        tokio::time::advance(idle).await;
+        assert_eq!(exchange.heritage().floor, begun);
+    }
+    tokio::time::advance(ms(3000)).await;
+    let woke = exchange.clock().now();
+    assert!(exchange.heritage().floor > Some(woke.as_secs_f64()), "what it reads first may be anything");
+    tokio::time::advance(ms(1000)).await;
+    assert!(exchange.heritage().floor < Some(exchange.clock().now().as_secs_f64()));
+}
