--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -32,9 +32,9 @@
 
 const BEFORE_START: Duration = Duration::from_secs(3600);
 /// The module is stepped at least so often.
-const IDLE: Duration = Duration::from_secs(1);
+const IDLE: Duration = Duration::from_millis(250);
 /// Time between two steps after which the process has stood still; less than a successor waits for it.
-const STOOD_STILL: Duration = Duration::from_secs(2);
+const STOOD_STILL: Duration = Duration::from_millis(800);
 /// Time in which it then finds out who waits for it.
 const DOUBTS_FOR: Duration = Duration::from_millis(500);
 
--- a/src/net/parcel.rs
+++ b/src/net/parcel.rs
@@ -29,7 +29,7 @@
 const VERSION: u32 = 2;
 /// Time within which a running process must have handed over its listener: it may stand still for a while, and a start
 /// has some seconds.
-const HANDED_WITHIN: Duration = Duration::from_millis(3500);
+const HANDED_WITHIN: Duration = Duration::from_millis(1200);
 /// Time within which who comes as a successor must have said who it is.
 const GREETED_WITHIN: Duration = Duration::from_secs(1);
 /// Bytes of a parcel at the most.
