--- a/core/src/decide.rs
+++ b/core/src/decide.rs
@@ -195,7 +195,7 @@
 
     fn learn_view(&mut self, view: View) {
         match view {
-            View::Changes(_) | View::All(_) => self.subscription.heard(),
+            View::Changes(_) | View::All(_) => self.subscription.heard(self.now),
             View::Remembered(_) => self.subscription.remembered(),
             View::Refused => self.subscription.refused(self.now, &self.cfg, || self.rng.random()),
         }
--- a/core/src/subscription.rs
+++ b/core/src/subscription.rs
@@ -2,19 +2,36 @@
 //!
 //! All gateways share one discovery, which works through their calls one after another. Calls that wait for too long
 //! fail, but their work is still done: once more come in a while than it can answer, all that wait behind them fail as
-//! well, their retries keep the queue long, and nobody learns anything. So where there are many gateways, first calls
-//! and retries are spread over a time that grows with their number, as far as the contract lets a gateway go without
-//! news. Owns the times of calls. It must never ask twice at once, nor stop asking.
+//! well, their retries keep the queue long, and nobody learns anything. None hears of the others' calls, so each calls at a
+//! time of its own, drawn over a window that has room for the calls of all. How much room one call needs is what
+//! its own calls tell: the window doubles when one fails after a wait (the others' calls were before it), and shrinks
+//! by a step when one is answered at once; a call that is refused at once costs nothing and tells nothing of the queue.
+//! Who holds a list is bound to hear of its changes, so its windows end in time for that; who holds none is bound
+//! by nothing and only wants an answer, so it keeps to the window. Sources: additive increase and multiplicative
+//! decrease of a shared resource's use by those who can't talk (Chiu and Jain 1989), slotted random access.
+//!
+//! Owns the times of calls. It must never ask twice at once, nor stop asking.
 
 use crate::interface::Settings;
 use crate::state::secs;
 
 /// Calls at once that discovery answers in time; a fleet of no more gateways spreads nothing.
 const BURST: f64 = 20.0;
-/// Time in s that each further gateway's call is given.
-const EACH: f64 = 0.07;
-/// Part of the longest time without a question that calls are spread over at most.
+/// Calls a second that discovery is taken to bear before any call tells more.
+const RATE: f64 = 12.5;
+/// Bounds of that, as parts of it.
+const RATE_BOUNDS: (f64, f64) = (1.0 / 64.0, 16.0);
+/// Calls a second more that it is taken to bear for each that is answered at once.
+const RATE_STEP: f64 = 2.5;
+/// Time in s within which a call is answered where none waits before it, and after which it has waited.
+const AT_ONCE: f64 = 0.15;
+const WAITED: f64 = 0.5;
+/// Time in s over which calls are spread at the most, however many gateways there are said to be.
+const WINDOW_MOST: f64 = 300.0;
+/// Part of the longest time without a question over which those who hold a list spread their calls at most.
 const SPREAD_MOST: f64 = 0.8;
+/// Parts of the mean gap at which a call is made again: from the first, by chance up to one gap later.
+const GAP_FROM: f64 = 0.5;
 /// The first pause in s after a failure; doubles...
 const PAUSE_FIRST: f64 = 0.5;
 /// ...up to this part of the longest time without a question.
@@ -23,40 +40,63 @@
 const AGAIN_AFTER: f64 = 0.5;
 
 /// One gateway's subscription.
-#[derive(Debug, Default, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Subscription {
     watching: bool,
+    /// It holds a list, from now or from before.
+    holds: bool,
+    /// When the call that is out was made.
+    called: Option<f64>,
     ask_at: Option<f64>,
     failures: i32,
+    /// The call's window was shorter than the calls of all need.
+    cut: bool,
+    /// Calls a second that discovery is taken to bear, from all gateways.
+    rate: f64,
 }
 
-/// How much later in s than at once a gateway calls: a random part of what the calls of all are spread over.
-fn apart(settings: &Settings, chance: impl FnOnce() -> f64) -> f64 {
-    let rest = f64::from(settings.gateways) - BURST;
-    if rest <= 0.0 {
-        return 0.0;
+impl Default for Subscription {
+    fn default() -> Self {
+        Self {
+            watching: false,
+            holds: false,
+            called: None,
+            ask_at: None,
+            failures: 0,
+            cut: false,
+            rate: RATE,
+        }
     }
-    (rest * EACH).min(SPREAD_MOST * secs(settings.contract.ask_every)) * chance()
 }
 
 impl Subscription {
     /// Discovery told something.
-    pub fn heard(&mut self) {
-        (self.watching, self.failures) = (true, 0);
+    pub fn heard(&mut self, now: f64) {
+        if self.called.take().is_some_and(|called| now - called < AT_ONCE) {
+            self.rate = (self.rate + RATE_STEP).min(RATE * RATE_BOUNDS.1);
+        }
+        (self.watching, self.holds, self.failures) = (true, true, 0);
     }
 
     /// The list is known from elsewhere.
     pub fn remembered(&mut self) {
-        self.watching = false;
+        (self.watching, self.holds) = (false, true);
     }
 
     /// A call failed, or what was subscribed to broke. `chance` gives random numbers up to 1.
     pub fn refused(&mut self, now: f64, settings: &Settings, mut chance: impl FnMut() -> f64) {
+        let waited = self.called.take().is_some_and(|called| now - called >= WAITED);
+        // Where all had to call sooner than the queue bears, that was to be expected.
+        if waited && !self.cut {
+            self.rate = (self.rate / 2.0).max(RATE * RATE_BOUNDS.0);
+        }
         let most = PAUSE_MOST * secs(settings.contract.ask_every);
         let pause = (PAUSE_FIRST * 2f64.powi(self.failures)).min(most).max(PAUSE_FIRST);
-        let apart = apart(settings, &mut chance);
+        let (window, cut) = self.window(settings, waited);
+        let gap = if cut { window / (GAP_FROM + 1.0) } else { window };
+        self.cut = cut;
         (self.watching, self.failures) = (false, (self.failures + 1).min(16));
-        self.ask_at = Some(now + pause * (0.5 + chance()) + apart);
+        self.ask_at = Some(now + pause.max(gap) * (GAP_FROM + chance()));
     }
 
     /// Whether a call is due; it is made then. The first one comes at once only where all may.
@@ -64,10 +104,142 @@
         if self.watching {
             return false;
         }
-        let due = now >= *self.ask_at.get_or_insert_with(|| now + apart(settings, chance));
+        if self.ask_at.is_none() {
+            let (window, cut) = self.window(settings, false);
+            (self.ask_at, self.cut) = (Some(now + window * chance()), cut);
+        }
+        let due = self.ask_at.is_some_and(|at| now >= at);
         if due {
+            self.called = Some(now);
             self.ask_at = Some(now + AGAIN_AFTER * secs(settings.contract.ask_every));
         }
         due
     }
+
+    /// Time in s over which the calls of all are spread, and whether they need more. Once a call has `waited` in vain there
+    /// is more time (a failed call counts as a question for four times as long), and what the queue bears goes first: calls
+    /// that fail tell nobody anything.
+    fn window(&self, settings: &Settings, waited: bool) -> (f64, bool) {
+        let needed = ((f64::from(settings.gateways) - BURST).max(0.0) / self.rate).min(WINDOW_MOST);
+        let bound = SPREAD_MOST * secs(settings.contract.ask_every);
+        let cut = self.holds && !waited && needed > bound;
+        (if cut { bound } else { needed }, cut)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::failover::Tuning;
+    use crate::interface::*;
+    use rand::{Rng, SeedableRng};
+    use rand_pcg::Pcg64Mcg;
+    use std::time::Duration;
+
+    /// Discovery answers so many calls a second, one after another; who waits longer than that has failed.
+    const BEARS: f64 = 15.0;
+    const FAILS_AFTER: f64 = 2.0;
+
+    fn settings(gateways: u32) -> Settings {
+        let ms = Duration::from_millis;
+        let limits = Limits {
+            attempts: 6,
+            cancel: true,
+            tell: false,
+            probes: true,
+            second_copies: false,
+            retry_after: true,
+            max_retry_after: ms(1000),
+            connect_timeout: ms(250),
+            streams_per_connection: 1,
+        };
+        let contract = Contract {
+            answer_slack: ms(20),
+            ask_every: ms(10_000),
+            cold_share: 0.2,
+            warm_up: ms(15_000),
+            overload_factor: 2.0,
+            overload_for: ms(1000),
+            stop_within: ms(2000),
+            only_draining_binds: false,
+        };
+        Settings {
+            index: 0,
+            gateways,
+            zone: ZoneId(0),
+            tick: ms(5),
+            classes: Vec::new(),
+            tenants: Vec::new(),
+            over_share_worth: 1.0,
+            checks: Checks::Silent,
+            positions: true,
+            session_marks: SessionMarks::Brought,
+            role_column: RoleColumn::Silent,
+            reports: Reports::Silent,
+            discovery: Discovery::Subscribe,
+            limits,
+            contract,
+            prices: Prices { cross_zone: 0.0, probe: 0.0, peer: 0.0, waste: 0.0, late_fail: 0.0 },
+            failover: Tuning::default(),
+        }
+    }
+
+    /// All start at once; discovery is down at first. Gives the calls while it was up, those of them that failed, and when
+    /// the last one was told, in s after the service came up.
+    fn start(gateways: u32, holds: bool, down: f64) -> (usize, usize, f64) {
+        let settings = settings(gateways);
+        let mut rng = Pcg64Mcg::seed_from_u64(u64::from(gateways));
+        let mut all = vec![Subscription::default(); gateways as usize];
+        if holds {
+            all.iter_mut().for_each(Subscription::remembered);
+        }
+        let mut ends: Vec<Option<(f64, bool)>> = vec![None; all.len()];
+        let (mut free_at, mut calls, mut failed, mut last) = (0.0, 0, 0, 0.0);
+        for tick in 0..40_000 {
+            let now = f64::from(tick) * 0.01;
+            for (one, end) in all.iter_mut().zip(&mut ends) {
+                if let Some((_, well)) = end.take_if(|(at, _)| *at <= now) {
+                    if well {
+                        one.heard(now);
+                        last = now - down;
+                    } else {
+                        one.refused(now, &settings, || rng.random());
+                    }
+                }
+                if end.is_none() && one.asks(now, &settings, || rng.random()) {
+                    let wait = f64::max(free_at, now) + 1.0 / BEARS - now;
+                    let (up, well) = (now >= down, wait <= FAILS_AFTER);
+                    free_at = if up { now + wait } else { free_at };
+                    calls += usize::from(up);
+                    failed += usize::from(up && !well);
+                    *end = Some((if up { now + wait.min(FAILS_AFTER) } else { now + 0.01 }, up && well));
+                }
+            }
+        }
+        assert!(all.iter().all(|one| one.watching), "one was never told");
+        (calls, failed, last)
+    }
+
+    /// Guards against a service that works on nothing but calls that have failed: 705 calls of 200, of which 633 failed,
+    /// and most of the fleet without a list for good.
+    #[test]
+    fn a_fleet_that_holds_no_list_is_told_as_fast_as_the_service_can() {
+        for (gateways, down) in [(1, 0.0), (8, 0.0), (200, 0.0), (1000, 0.0), (3000, 0.0), (200, 20.0)] {
+            let (calls, failed, last) = start(gateways, false, down);
+            let n = gateways as usize;
+            assert!(calls * 10 <= n * 12 && failed * 100 <= n, "{gateways}: {calls} calls, {failed} failed");
+            assert!(last <= 1.3 * f64::from(gateways) / BEARS + 6.0, "{gateways}: {last} s");
+        }
+    }
+
+    /// Guards against a jam that feeds itself: who holds a list has to hear of its changes in time, and more call then than
+    /// are answered.
+    #[test]
+    fn a_fleet_that_holds_a_list_gets_over_its_own_calls() {
+        for (gateways, told) in [(100, 10.0), (200, 40.0), (300, 100.0), (400, 150.0), (1000, 400.0)] {
+            let (calls, _, last) = start(gateways, true, 0.0);
+            assert!(calls < 3 * gateways as usize, "{gateways}: {calls} calls");
+            assert!(last <= told, "{gateways}: {last} s");
+        }
+    }
 }
--- a/peers/src/fleet/directory.rs
+++ b/peers/src/fleet/directory.rs
@@ -38,7 +38,7 @@
     down_until: f64,
     /// What each version changed, and when the service heard of it. The first one is the whole list.
     versions: Vec<(f64, Vec<Entry>)>,
-    /// Calls, those that failed, and the longest wait of one that was answered.
+    /// Calls, those that failed while it was up, and the longest wait of one that was answered.
     pub calls: usize,
     /// See `calls`.
     pub failed: usize,
@@ -112,7 +112,6 @@
     pub fn call(&mut self, now: f64) -> Call {
         self.calls += 1;
         if self.is_down(now) {
-            self.failed += 1;
             return Call::Failed(now + 0.001);
         }
         let done = self.free_at.max(now) + 1.0 / self.service.rate;
