--- a/core/src/subscription.rs
+++ b/core/src/subscription.rs
@@ -6,8 +6,8 @@
 //! time of its own, drawn over a window that has room for the calls of all. How much room one call needs is what
 //! its own calls tell: the window doubles when one fails after a wait (the others' calls were before it), and shrinks
 //! by a step when one is answered at once; a call that is refused at once costs nothing and tells nothing of the queue.
-//! Who holds a list is bound to hear of its changes, so its windows end in time for that; who holds none is bound
-//! by nothing and only wants an answer, so it keeps to the window. Sources: additive increase and multiplicative
+//! Who holds a list is bound to hear of its changes, so it calls in time for that, until a call has waited in vain; who
+//! holds none is bound by nothing and only wants an answer, so it keeps to the window. Sources: additive increase and multiplicative
 //! decrease of a shared resource's use by those who can't talk (Chiu and Jain 1989), slotted random access.
 //!
 //! Owns the times of calls. It must never ask twice at once, nor stop asking.
