Count a request's time from its arrival, and look for its client before each write

At fault: clients.rs request(), which gave `d` anew to what had waited behind others on its connection, and looked for its client only while no more than one buffer had come ahead (`if room`).

- net/inbound.rs (new) owns what a client has sent: its bytes, when each read came, and the close.
A request's time counts from the arrival of its last byte.
- One look for a gone client, Caller::is_gone, asked in Exchange::may_write just before the first byte of any attempt: its request open, its client there (the system is asked, also behind unread bytes), its server neither draining, dropped nor out by hand.
Probes ask the last.
The time within which a decided attempt must begin follows the settings' time for drains and is no constant any more.
- One orderly close for every path: shut down writing, read on for 1 s at most; its place may go to another, and a process that ends counts it as gone.
- An id whose holder's client is gone is free for the client that comes again.
- Classes dropped by two reloads in a row may both be named for 2 s, and keep their ids from being given out.
- One call to discovery is out at a time; a watch is silent 2.7 s after its last whole value (any layout), a call fails 2.5 s after it began; changes to an older list than the one in hand make the next call ask for all of it.
Pauses between failed calls leave room for two calls within the 6 s after which a change counts as told.
- Signals are listened for before anything is read.

--- a/core/src/farewell.rs
+++ b/core/src/farewell.rs
@@ -75,6 +75,11 @@
         Self { told, leaves: told + kept, ends, connected, last_left: told, handed: false, shut: false }
     }
 
+    /// When the time is up.
+    pub fn ends(&self) -> Duration {
+        self.ends
+    }
+
     /// A connection was taken in.
     pub fn came(&mut self) {
         self.connected += 1;
--- a/core/src/subscription.rs
+++ b/core/src/subscription.rs
@@ -34,8 +34,12 @@
 const GAP_FROM: f64 = 0.5;
 /// The first pause in s after a failure; doubles...
 const PAUSE_FIRST: f64 = 0.5;
-/// ...up to this part of the longest time without a question.
+/// ...up to this part of the longest time without a question...
 const PAUSE_MOST: f64 = 0.25;
+/// ...and of the time after which a change counts as told once discovery can be reached: two calls must fit into it, each
+/// after a pause and half of one, for one of them may fail in the moment of its return.
+const TOLD_WITHIN: f64 = 6.0;
+const PAUSE_OF_TOLD: f64 = 0.25;
 /// Part of the longest time without a question after which a call that nothing came of is made anew.
 const AGAIN_AFTER: f64 = 0.5;
 
@@ -90,7 +94,7 @@
         if waited && !self.cut {
             self.rate = (self.rate / 2.0).max(RATE * RATE_BOUNDS.0);
         }
-        let most = PAUSE_MOST * secs(settings.contract.ask_every);
+        let most = (PAUSE_MOST * secs(settings.contract.ask_every)).min(PAUSE_OF_TOLD * TOLD_WITHIN);
         let pause = (PAUSE_FIRST * 2f64.powi(self.failures)).min(most).max(PAUSE_FIRST);
         let (window, cut) = self.window(settings, waited);
         let gap = if cut { window / (GAP_FROM + 1.0) } else { window };
--- a/src/main.rs
+++ b/src/main.rs
@@ -26,7 +26,7 @@
 use pipittack::net::servers::{self, PgExchange};
 use pipittack::operators::Operators;
 use pipittack::settings::{Config, Env, Malformed, SOCKETS_LEAST};
-use tokio::signal::unix::{signal, SignalKind};
+use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::{spawn_local, LocalSet};
 use tokio::time::{timeout_at, Instant};
@@ -137,25 +137,48 @@
 }
 
 fn start(start: &Start, log_level: LevelFilter) -> Result<(), String> {
-    let config = start.file.read()?;
-    logger::install(&config.0.name, log_level);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("no runtime: {e}"))?;
-    let done = LocalSet::new().block_on(&runtime, serve(start, config));
+    let done = LocalSet::new().block_on(&runtime, async {
+        // A signal that comes while the configuration is read waits for the process, and does not end it.
+        let signals = Signals::listen()?;
+        let config = start.file.read()?;
+        logger::install(&config.0.name, log_level);
+        serve(start, config, signals).await
+    });
     log::logger().flush();
     done
 }
 
-async fn serve(start: &Start, (mut config, settings, env): (Config, Settings, Env)) -> Result<(), String> {
+/// The signals that a process goes by.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn listen() -> Result<Self, String> {
+        let on = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
+        Ok(Self {
+            terminate: on(SignalKind::terminate())?,
+            interrupt: on(SignalKind::interrupt())?,
+            hangup: on(SignalKind::hangup())?,
+        })
+    }
+}
+
+async fn serve(
+    start: &Start,
+    (mut config, settings, env): (Config, Settings, Env),
+    mut signals: Signals,
+) -> Result<(), String> {
     let (clock, born) = (Clock::start(), Instant::now());
     let pool = Pool::new((config.limits.memory_mb as f64 * 1e6 * BUFFER_SHARE) as usize);
     let seed = config.seed().map_err(|e| e.to_string())?;
     let sockets = sockets(config.limits.sockets)?;
     let part = |share: f64| (sockets as f64 * share) as usize;
 
-    let mut terminate = signal(SignalKind::terminate()).map_err(|e| format!("no signals: {e}"))?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(|e| format!("no signals: {e}"))?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("no signals: {e}"))?;
     // Other proxies may have the same folder: what is kept there goes by this one's name and address.
     let kept = |ending: &str| {
         let name = format!("pipittack-{}-{}.{ending}", config.name, config.listen);
@@ -179,7 +202,7 @@
     };
     let address = listener.local_addr().map_err(|e| format!("can't listen: {e}"))?;
 
-    let to_servers = servers::Options::new(&settings, &env, sockets - part(CLIENT_SHARE.0));
+    let to_servers = servers::Options::new(&settings, env.conn_idle, sockets - part(CLIENT_SHARE.0));
     let to_clients = clients::Options {
         clients: part(CLIENT_SHARE.1),
         usual: part(CLIENT_SHARE.0),
@@ -208,8 +231,9 @@
     // The process before this one has it from the service, the configuration only as of some earlier time.
     let handed = heritage.as_mut().and_then(|heritage| heritage.state.as_mut()?.listing.take());
     if let Some(known) = handed.or(config.known.take()) {
-        let (view, addresses) = lister.borrow_mut().read(known, true);
-        exchange.listed(view, addresses);
+        if let Some((view, addresses)) = lister.borrow_mut().read(known, true) {
+            exchange.listed(view, addresses);
+        }
     }
     spawn_local(servers::run(exchange.clone(), orders, to_servers, pool.clone()));
     let (moved, service) = watch::channel(config.discovery);
@@ -260,9 +284,9 @@
 
     loop {
         tokio::select! {
-            _ = terminate.recv() => break,
-            _ = interrupt.recv() => break,
-            _ = hangup.recv() => match start.file.read_by(|text| config.reread(text)) {
+            _ = signals.terminate.recv() => break,
+            _ = signals.interrupt.recv() => break,
+            _ = signals.hangup.recv() => match start.file.read_by(|text| config.reread(text)) {
                 Ok((new, settings, env)) => {
                     let place = if new.discovery == config.discovery { "still at" } else { "now at" };
                     log::info!(
@@ -298,7 +322,7 @@
 ) {
     // The list's zones keep the numbers that they have.
     settings.zone = lister.borrow_mut().zone(env.names.zone_name(settings.zone).unwrap_or_default());
-    exchange.order(Order::Patience(settings.limits.connect_timeout, env.conn_idle));
+    exchange.order(Order::Retune(Box::new(settings.clone()), env.conn_idle));
     clients.retune(settings, env.names.classes());
 }
 
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -5,7 +5,7 @@
 //! itself once the exchange has taken it, or let one client's slowness reach another.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap};
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -15,14 +15,14 @@
 
 use pipittack_core::farewell::{Farewell, Phase, Standing};
 use socket2::SockRef;
-use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::{watch, Notify};
 use tokio::task::JoinHandle;
-use tokio::time::{sleep_until, timeout, Instant, MissedTickBehavior};
+use tokio::time::{sleep_until, timeout, timeout_at, Instant, MissedTickBehavior};
 
 use super::buffers::{self, write_all, Chain, Pool, Room};
-use super::exchange::{Call, Final, Order};
+use super::exchange::{Call, Caller, Final, Order};
+use super::inbound::Inbound;
 use super::parcel::Successor;
 use super::pg::{self, Severity, Startup};
 use super::servers::{Answer, PgExchange, Query};
@@ -49,10 +49,6 @@
 const LONGEST_MESSAGE: Duration = Duration::from_secs(20);
 /// Time within which a client must have taken an answer.
 const WRITE_WITHIN: Duration = Duration::from_secs(10);
-/// Time for which what a client still sends is read after its last answer, so that it gets that answer.
-const LINGER: Duration = Duration::from_secs(1);
-/// Bytes of it that are read at the most.
-const LINGER_BYTES: usize = 1 << 20;
 /// Clients over the limit that are told so at the same time; what exceeds them is closed without a word.
 const TURNED_AWAY_MOST: usize = 8;
 /// Time for which clients still come after the front was told to send no more: it asks each 0.1 s, and sends
@@ -85,18 +81,17 @@
     pub classes: HashMap<String, (ClassId, Class)>,
 }
 
-/// What statements may name: the classes of the settings in force, and for a while those that these dropped.
+/// What statements may name: the classes of the settings in force, and for a while those that earlier ones dropped.
 struct Rules {
     classes: HashMap<String, (ClassId, Class)>,
-    dropped: HashMap<String, (ClassId, Class)>,
-    /// When the dropped ones go.
-    until: Instant,
+    /// Each with when it goes.
+    dropped: HashMap<String, (ClassId, Class, Instant)>,
 }
 
 impl Rules {
     fn class(&self, name: &str) -> Option<(ClassId, Class)> {
-        let dropped = || self.dropped.get(name).filter(|_| Instant::now() < self.until);
-        self.classes.get(name).or_else(dropped).cloned()
+        let dropped = self.dropped.get(name).filter(|(.., until)| Instant::now() < *until);
+        self.classes.get(name).cloned().or_else(|| dropped.map(|(id, class, _)| (*id, class.clone())))
     }
 }
 
@@ -115,6 +110,8 @@
     /// The connections, by the number in which they came, each with the word that it has to make room.
     connected: RefCell<HashMap<u64, Rc<Notify>>>,
     taken: Cell<u64>,
+    /// How many of them are served; the others have ended, and wait for their clients to see it.
+    served: Cell<usize>,
     /// How many there may be, while another process has a part of them.
     limit: Cell<Option<usize>>,
     /// Another process takes who comes.
@@ -127,12 +124,14 @@
     /// Those that have asked nothing yet, and those that stand between requests, each with since when.
     silent: Since,
     idle: Since,
+    /// Those that have ended.
+    closing: Since,
     /// How many have asked nothing yet.
     unasked: Cell<usize>,
     /// Clients turned away since the last warning, and when that was.
     turned_away: Cell<(u64, Option<Instant>)>,
-    /// Ids of the requests that are open.
-    ids: RefCell<HashSet<String>>,
+    /// Ids of the requests that are open, each with its connection.
+    ids: RefCell<HashMap<String, Holder>>,
     /// When it last looked for connections to close, and when it last went on after it had stood still for so long.
     looked: Cell<Instant>,
     woke: Cell<(Instant, Duration)>,
@@ -187,21 +186,19 @@
             usual: options.usual,
             sockets: options.sockets,
             left_to_servers: Cell::new(options.sockets - options.usual),
-            rules: RefCell::new(Rules {
-                classes: options.classes,
-                dropped: HashMap::new(),
-                until: Instant::now(),
-            }),
+            rules: RefCell::new(Rules { classes: options.classes, dropped: HashMap::new() }),
             pool,
             scratch: RefCell::default(),
             connected: RefCell::default(),
             taken: Cell::new(0),
+            served: Cell::new(0),
             limit: Cell::default(),
             yields: watch::Sender::new(false),
             successor: RefCell::default(),
             beside: RefCell::default(),
             silent: RefCell::default(),
             idle: RefCell::default(),
+            closing: RefCell::default(),
             unasked: Cell::new(0),
             turned_away: Cell::new((0, None)),
             ids: RefCell::default(),
@@ -271,8 +268,8 @@
     pub async fn farewell(&self) {
         let side = &*self.0;
         let clock = side.exchange.clock();
-        let connected = side.connected.borrow().len();
-        let farewell = Farewell::new(clock.now(), side.exchange.longest(), connected, side.stood());
+        let farewell = Farewell::new(clock.now(), side.exchange.longest(), side.served.get(), side.stood());
+        let ends = clock.instant(farewell.ends());
         side.farewell.replace(Some(farewell));
         loop {
             let mut nearer = std::pin::pin!(side.nearer.notified());
@@ -295,6 +292,8 @@
                 () = sleep_until(clock.instant(next)) => {}
             }
         }
+        // Those that have ended may still have to read their last answers.
+        let _ = timeout_at(ends, self.gone()).await;
         self.shut_to(Door::Ended);
         let _ = timeout(LAST_WORD, self.gone()).await;
     }
@@ -312,12 +311,13 @@
             rules.classes.get(name).filter(|(_, known)| known == class).map(|(id, _)| *id)
         };
         let kept: Vec<_> = names.iter().zip(&classes).map(same).collect();
-        let old = std::mem::take(&mut rules.classes);
-        let reserved: Vec<_> = old.values().map(|(id, _)| *id).collect();
+        let (old, now) = (std::mem::take(&mut rules.classes), Instant::now());
+        rules.dropped.retain(|_, (.., until)| now < *until);
+        let dropped = old.into_iter().map(|(name, (id, class))| (name, (id, class, now + STILL_NAMED)));
+        rules.dropped.extend(dropped);
+        let reserved: Vec<_> = rules.dropped.values().map(|(id, ..)| *id).collect();
         let ids = self.0.exchange.retune(settings, &kept, &reserved);
         rules.classes = names.iter().cloned().zip(ids.into_iter().zip(classes)).collect();
-        rules.dropped = old;
-        rules.until = Instant::now() + STILL_NAMED;
     }
 
     /// Has the front send its clients elsewhere: empty queries get an error from now on, and who is here is
@@ -353,8 +353,12 @@
 
     /// Waits until all clients are gone.
     async fn gone(&self) {
-        while !self.0.connected.borrow().is_empty() {
-            self.0.nearer.notified().await;
+        loop {
+            let nearer = self.0.nearer.notified();
+            if self.0.connected.borrow().is_empty() {
+                return;
+            }
+            nearer.await;
         }
     }
 
@@ -390,14 +394,15 @@
         let side = self.0.clone();
         let number = side.taken.get() + 1;
         side.taken.set(number);
-        let place = Place(side.clone(), number);
+        let place = Place::new(&side, number);
         let unwanted = Rc::new(Notify::new());
         // Who comes over from another process has stood there.
         let unasked = (stage != Stage::Started).then(|| Unasked::new(&side));
         side.connected.borrow_mut().insert(number, unwanted.clone());
         tokio::task::spawn_local(async move {
-            let side = &*place.0;
-            let inbound = side.pool.chain();
+            let side = &*place.side;
+            let stream = Rc::new(stream);
+            let inbound = Inbound::new(stream.clone(), &side.pool);
             let (came, room, leaves) = (side.exchange.clock().now(), None, false);
             let mut client = Client {
                 inbound,
@@ -413,11 +418,17 @@
                 hurried,
             };
             if let Err(e) = client.serve().await {
-                return log::debug!("client connection: {e}");
+                log::debug!("client connection: {e}");
             }
-            let Client { stream, stage, leaves: true, .. } = client else { return };
             let successor = side.successor.borrow().clone();
-            let Some(successor) = successor.filter(|_| *side.door.borrow() >= Door::Closed) else { return };
+            let successor = successor.filter(|_| client.leaves && *side.door.borrow() >= Door::Closed);
+            let Some(successor) = successor else {
+                place.ends();
+                return client.close().await;
+            };
+            let Client { stream, inbound, stage, .. } = client;
+            drop(inbound);
+            let Some(stream) = Rc::into_inner(stream) else { return };
             match successor.take(stream, stage == Stage::Started).await {
                 Ok(()) => side.limit.set(side.limit.get().map(|limit| limit.saturating_sub(1))),
                 Err(e) => log::debug!("client connection: can't be handed over: {e}"),
@@ -497,17 +508,19 @@
         }
     }
 
-    /// Closes the client that has longest stood without an open request, if any may be closed: one that has
-    /// asked nothing yet, else one between requests. Guards against clients that connect and stay, and keep
+    /// Closes the client that has longest stood without an open request, if any may be closed: one that has ended
+    /// anyway, else one that has asked nothing yet, else one between requests. Guards against clients that connect and stay, and keep
     /// out those that have something to ask.
     fn make_room(&self) -> bool {
-        let longest = |standing: &Since| {
+        let longest = |standing: &Since, least: Duration| {
             let first = standing.borrow().first().copied();
-            let first = first.filter(|(since, _)| since.elapsed() >= STANDS_LEAST)?;
+            let first = first.filter(|(since, _)| since.elapsed() >= least)?;
             standing.borrow_mut().remove(&first);
             Some(first.1)
         };
-        let client = longest(&self.silent).or_else(|| longest(&self.idle));
+        let client = longest(&self.closing, Duration::ZERO)
+            .or_else(|| longest(&self.silent, STANDS_LEAST))
+            .or_else(|| longest(&self.idle, STANDS_LEAST));
         if let Some(unwanted) = client.and_then(|number| self.connected.borrow().get(&number).cloned()) {
             unwanted.notify_waiters();
         }
@@ -569,17 +582,42 @@
     }
 }
 
-/// A connection's place among the others, for as long as its task lives.
-struct Place(Rc<Side>, u64);
+/// A connection's place among the others, for as long as its task lives. It is served until it ends, and then has to be
+/// seen by its client.
+struct Place {
+    side: Rc<Side>,
+    number: u64,
+    served: Cell<bool>,
+}
+
+impl Place {
+    fn new(side: &Rc<Side>, number: u64) -> Self {
+        side.served.set(side.served.get() + 1);
+        if let Some(farewell) = &mut *side.farewell.borrow_mut() {
+            farewell.came();
+        }
+        Self { side: side.clone(), number, served: Cell::new(true) }
+    }
+
+    /// Nothing more is read on it to be served.
+    fn ends(&self) {
+        let side = &self.side;
+        if self.served.replace(false) {
+            side.served.set(side.served.get() - 1);
+            if let Some(farewell) = &mut *side.farewell.borrow_mut() {
+                farewell.left(side.exchange.clock().now());
+            }
+            side.nearer.notify_waiters();
+        }
+    }
+}
 
 impl Drop for Place {
     fn drop(&mut self) {
-        self.0.connected.borrow_mut().remove(&self.1);
-        self.0.share_sockets();
-        if let Some(farewell) = &mut *self.0.farewell.borrow_mut() {
-            farewell.left(self.0.exchange.clock().now());
-        }
-        self.0.nearer.notify_waiters();
+        self.ends();
+        self.side.connected.borrow_mut().remove(&self.number);
+        self.side.share_sockets();
+        self.side.nearer.notify_waiters();
     }
 }
 
@@ -616,12 +654,22 @@
     }
 }
 
-/// A request's id, for as long as the request is open.
-struct OpenId<'s>(&'s Side, String);
+/// Whose an id is: the connection's number and the request, and what tells whether its client is there.
+struct Holder {
+    number: u64,
+    request: RequestId,
+    client: Rc<TcpStream>,
+}
+
+/// A request's id, for as long as the request is open and no other has taken the id over.
+struct OpenId<'s>(&'s Side, String, u64);
 
 impl Drop for OpenId<'_> {
     fn drop(&mut self) {
-        self.0.ids.borrow_mut().remove(&self.1);
+        let mut ids = self.0.ids.borrow_mut();
+        if ids.get(&self.1).is_some_and(|holder| holder.number == self.2) {
+            ids.remove(&self.1);
+        }
     }
 }
 
@@ -630,8 +678,8 @@
     number: u64,
     /// When it came, on the exchange's clock.
     came: Duration,
-    stream: TcpStream,
-    inbound: Chain,
+    stream: Rc<TcpStream>,
+    inbound: Inbound,
     stage: Stage,
     /// Room for the message that comes in, where one buffer does not hold it.
     room: Option<Room>,
@@ -671,7 +719,7 @@
             self.stage = Stage::Started;
         }
         let mut skipping = false; // after an error in the extended protocol, up to Sync
-        while let Some(message) = self.next_message().await? {
+        while let Some((message, came)) = self.next_message().await? {
             let kind = message.array::<1>(0).map_or(0, |[kind]| kind);
             let flow = match kind {
                 b'X' => Flow::End,
@@ -680,7 +728,7 @@
                     self.reply(pg::ready).await?
                 }
                 _ if skipping => Flow::GoOn,
-                b'Q' => self.query(message).await?,
+                b'Q' => self.query(message, came).await?,
                 b'P' | b'B' | b'D' | b'E' | b'C' | b'H' => {
                     skipping = true;
                     self.refuse("0A000", "only simple queries are supported").await?
@@ -703,7 +751,7 @@
     /// message that keeps its place for good.
     async fn more(&mut self, late: Option<Instant>) -> io::Result<bool> {
         let standing = match self.stage {
-            _ if !self.inbound.is_empty() => Standing::Begun,
+            _ if !self.inbound.bytes().is_empty() => Standing::Begun,
             Stage::Started if self.unasked.is_none() => Standing::Between,
             _ => Standing::Silent,
         };
@@ -712,16 +760,16 @@
         let late = late.into_iter().chain(asks_by).min();
         let goes = tokio::select! {
             biased;
-            read = self.inbound.fill(&self.stream) => return Ok(read? > 0),
+            read = self.inbound.fill() => return Ok(read? > 0),
             () = self.side.lets_go(standing, self.stage, self.came), if standing != Standing::Begun => true,
             () = self.unwanted.notified(), if standing != Standing::Begun => true,
             () = sleep_until(late.unwrap_or_else(Instant::now)), if late.is_some() => false,
         };
         if goes {
             // What the system has and the runtime has not heard of is served like all that was read.
-            let unread = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+            let unread = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
             if unread.is_ok_and(|n| n > 0) {
-                return Ok(self.inbound.fill(&self.stream).await? > 0);
+                return Ok(self.inbound.fill().await? > 0);
             }
             self.leaves = true;
             return Ok(false);
@@ -737,20 +785,20 @@
     async fn start(&mut self, full: bool) -> io::Result<Flow> {
         let late = Some(Instant::now() + if full { ANSWERED_WITHIN } else { MESSAGE_WITHIN });
         loop {
-            let length = self.inbound.array::<4>(0).map(|b| u32::from_be_bytes(b) as usize);
+            let length = self.inbound.bytes().array::<4>(0).map(|b| u32::from_be_bytes(b) as usize);
             if length.is_some_and(|n| !(8..=pg::STARTUP_MOST).contains(&n)) {
                 return self.expel("08P01", "invalid length of startup packet").await;
             }
-            let Some(length) = length.filter(|n| self.inbound.len() >= *n) else {
+            let Some(length) = length.filter(|n| self.inbound.bytes().len() >= *n) else {
                 // Who is slow is not silent.
-                let silent = self.inbound.is_empty();
+                let silent = self.inbound.bytes().is_empty();
                 let _stands = silent.then(|| Stands::new(&self.side.silent, self.number));
                 if !self.more(late).await? {
                     return Ok(Flow::End);
                 }
                 continue;
             };
-            let packet = self.inbound.split_to(length);
+            let (packet, _) = self.inbound.split_to(length);
             let body: Vec<u8> = packet.pieces(4..length).flatten().copied().collect();
             match pg::startup(&body) {
                 Some(Startup::Encryption) => self.write(b"N").await?,
@@ -772,28 +820,28 @@
         }
     }
 
-    /// The next whole message; none when the client is gone, or when the proxy closes between requests. One
-    /// that does not fit into a buffer is read on once there is room for it.
-    async fn next_message(&mut self) -> io::Result<Option<Chain>> {
+    /// The next whole message, with the time at which its last byte came; none when the client is gone, or when the proxy
+    /// closes between requests. One that does not fit into a buffer is read on once there is room for it.
+    async fn next_message(&mut self) -> io::Result<Option<(Chain, Instant)>> {
         let (mut late, mut begun, mut long) = (None, Instant::now(), false);
         self.room = None;
         loop {
-            if let Some(header) = self.inbound.array(0) {
+            if let Some(header) = self.inbound.bytes().array(0) {
                 let length = pg::header(header).map(|(_, length)| length).filter(|n| *n <= pg::QUERY_MOST);
                 let Some(length) = length else {
                     self.expel("08P01", "invalid message length").await?;
                     return Ok(None);
                 };
-                if self.inbound.len() >= length {
+                if self.inbound.bytes().len() >= length {
                     return Ok(Some(self.inbound.split_to(length)));
                 }
-                if self.inbound.len() >= buffers::SIZE && self.room.is_none() {
+                if self.inbound.bytes().len() >= buffers::SIZE && self.room.is_none() {
                     self.room = Some(self.side.pool.room(length).await);
                     long = length > WITHIN_MOST;
                     begun = Instant::now();
                 }
             }
-            let between = self.inbound.is_empty();
+            let between = self.inbound.bytes().is_empty();
             let standing = if self.unasked.is_none() { &self.side.idle } else { &self.side.silent };
             let _stands = between.then(|| Stands::new(standing, self.number));
             if !between && (late.is_none() || long) {
@@ -805,7 +853,7 @@
         }
     }
 
-    async fn query(&mut self, message: Chain) -> io::Result<Flow> {
+    async fn query(&mut self, message: Chain, came: Instant) -> io::Result<Flow> {
         let cut = cut(&message);
         let parsed = {
             let mut scratch = self.side.scratch.borrow_mut();
@@ -836,7 +884,7 @@
                 })
                 .await
             }
-            Some(pg::Query::Routed(statement)) => self.request(statement, message, cut).await,
+            Some(pg::Query::Routed(statement)) => self.request(statement, message, cut, came).await,
             None => self.reject("42601", "not a statement that this proxy can route").await,
         }
     }
@@ -847,6 +895,7 @@
         statement: pg::Statement,
         message: Chain,
         cut: Range<usize>,
+        came: Instant,
     ) -> io::Result<Flow> {
         let class = self.side.rules.borrow().class(&statement.class);
         let Some((id, class)) = class else {
@@ -859,18 +908,25 @@
         if !self.side.exchange.knows(GroupId(statement.group)) {
             return self.reject("42601", "the statement names no known cluster").await;
         }
-        if !self.side.ids.borrow_mut().insert(statement.id.clone()) {
-            return self.reject("08P01", "the statement has the id of another open request").await;
+        let holder = self.side.ids.borrow().get(&statement.id).map(|h| (h.request, h.client.is_gone()));
+        match holder {
+            Some((_, false)) => {
+                return self.reject("08P01", "the statement has the id of another open request").await;
+            }
+            // Its client has come again before the end of its connection was read.
+            Some((request, true)) => self.side.exchange.left(request),
+            None => {}
         }
-        let open_id = OpenId(self.side, statement.id);
         let place =
             |at: usize| if at + TEXT_AT < cut.start { at + TEXT_AT } else { at + TEXT_AT + cut.len() };
         let wait_at = place(statement.wait_at.start)..place(statement.wait_at.end);
         let call = Call {
+            caller: Some(self.stream.clone()),
             class: id,
             group: GroupId(statement.group),
-            // No client waits longer over all its tries, and no request outlasts the process.
-            time_left: self.side.time_left(statement.wait.min(class.deadline)),
+            // No client waits longer over all its tries, and no request outlasts the process. What it waited for its
+            // turn, behind others on its connection, was its client's time too.
+            time_left: self.side.time_left(statement.wait.min(class.deadline).saturating_sub(came.elapsed())),
             retry: statement.retry,
             bytes: message.len() as u64,
             session: matches!(class.need, Need::Write | Need::Causal).then_some(statement.key),
@@ -879,21 +935,20 @@
         self.unasked = None;
         let (request, mut answer) =
             self.side.exchange.open(call, Query { message, wait_at, room: self.room.take() });
+        let holder = Holder { number: self.number, request, client: self.stream.clone() };
+        self.side.ids.borrow_mut().insert(statement.id.clone(), holder);
+        let open_id = OpenId(self.side, statement.id, self.number);
         let mut door = self.side.door.subscribe();
-        let answer = loop {
-            let room = self.inbound.len() < buffers::SIZE;
-            tokio::select! {
-                biased;
-                answer = &mut answer => break answer,
-                _ = door.wait_for(|door| *door == Door::Ended) => {
-                    self.side.exchange.left(request);
-                    return self.expel("57P01", "the proxy is shutting down").await;
-                }
-                // What a client sends ahead is kept; its end tells that it is gone.
-                read = self.inbound.fill(&self.stream), if room => if !read.is_ok_and(|n| n > 0) {
-                    self.side.exchange.left(request);
-                    return Ok(Flow::End);
-                },
+        let answer = tokio::select! {
+            biased;
+            answer = &mut answer => answer,
+            _ = door.wait_for(|door| *door == Door::Ended) => {
+                self.side.exchange.left(request);
+                return self.expel("57P01", "the proxy is shutting down").await;
+            }
+            () = self.inbound.gone() => {
+                self.side.exchange.left(request);
+                return Ok(Flow::End);
             }
         };
         drop(open_id);
@@ -916,7 +971,8 @@
             Ok(Final::Failed) => {
                 self.reject("40003", "no answer from a data server; the statement may have run").await
             }
-            Err(_) => self.expel("57P01", "the proxy is shutting down").await,
+            // Its client was seen to be gone before anything went out for it.
+            Err(_) => Ok(Flow::End),
         }
     }
 
@@ -969,24 +1025,20 @@
         .await
     }
 
-    /// An error that ends the connection. What the client still sends is read for a moment: closing on
-    /// unread bytes would reset the connection and take the error with it.
+    /// An error that ends the connection.
     async fn expel(&mut self, code: &str, text: &str) -> io::Result<Flow> {
         self.reply(|out| pg::error(out, Severity::Fatal, code, text, None)).await?;
-        self.stream.shutdown().await?;
-        let drain = async {
-            let mut left = LINGER_BYTES;
-            loop {
-                let read = self.side.pool.chain().fill(&self.stream).await?;
-                left = left.saturating_sub(read);
-                if read == 0 || left == 0 {
-                    return Ok::<(), io::Error>(());
-                }
-            }
-        };
-        let _ = timeout(LINGER, drain).await;
         Ok(Flow::End)
     }
+
+    /// Ends the connection in order, whatever led to that. Its place may go to another meanwhile.
+    async fn close(&mut self) {
+        let _stands = Stands::new(&self.side.closing, self.number);
+        tokio::select! {
+            () = self.inbound.close() => {}
+            () = self.unwanted.notified() => {}
+        }
+    }
 }
 
 /// The digits in the middle of a long statement's value, which need not be looked at word by word: an even number
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -14,7 +14,7 @@
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
-use tokio::time::timeout;
+use tokio::time::{timeout, timeout_at, Instant};
 use winnow::ascii::{crlf, digit1, hex_digit1, space0, space1};
 use winnow::combinator::{preceded, repeat, separated_pair, terminated};
 use winnow::error::ContextError;
@@ -28,17 +28,20 @@
 use crate::listing::{Listing, Target};
 use crate::settings::Names;
 
-/// A line comes every 2 s; without one for so long, the service or the way there is gone. What the service
-/// would have told counts as told 6 s later, so there must be time left to ask again.
-const SILENCE_MOST: Duration = Duration::from_millis(3500);
+/// A line comes every 2 s; without a whole one for so long, a watch has fallen silent. What it misses counts as told
+/// 6 s after its last word: time to dial anew (after at most 0.75 s), fail within 0.5 s, and dial again (1.5 s later).
+const SILENCE_MOST: Duration = Duration::from_millis(2700);
 /// Time within which a connection must be up.
-const CONNECT_WITHIN: Duration = Duration::from_secs(1);
+const CONNECT_WITHIN: Duration = Duration::from_millis(500);
+/// Time within which a call must be answered, its connection included: the service works through calls one after another,
+/// and turns away what has waited for 2 s.
+const ANSWERED_WITHIN: Duration = Duration::from_millis(2500);
 /// Names of servers that are kept after the list has dropped them.
 const PAST_MOST: usize = 4096;
 /// The state of a server that has left the list.
 const GONE: &str = "Gone";
-/// The longest head or line that is read.
-const LINE_MOST: usize = 4 << 20;
+/// The longest head or list that is read.
+const LIST_MOST: usize = 4 << 20;
 
 /// Turns listings into views, and knows the ids of servers.
 pub struct Lister {
@@ -69,8 +72,13 @@
         Self { names, clock, ids, leaving, held, past, rev: 0, live: false }
     }
 
-    /// Reads a listing; `remembered` is for the one of an earlier run.
-    pub fn read(&mut self, listing: Listing, remembered: bool) -> Listed {
+    /// Reads a listing; `remembered` is for the one of an earlier run. Changes to an older list than the one in hand don't
+    /// fit it: the service does not know that version, and the next call asks for the whole list.
+    pub fn read(&mut self, listing: Listing, remembered: bool) -> Option<Listed> {
+        if !listing.all && !remembered && listing.rev < self.rev {
+            self.rev = 0;
+            return None;
+        }
         self.rev = listing.rev;
         self.live |= !remembered;
         for id in self.leaving.drain(..) {
@@ -116,7 +124,7 @@
             (false, true) => View::All(entries),
             (false, false) => View::Changes(entries),
         };
-        (view, addresses)
+        Some((view, addresses))
     }
 
     /// The number of a zone of this name.
@@ -173,73 +181,78 @@
     }
 }
 
-/// Follows what the module asks of discovery until the exchange is gone. Where `service` changes, a watch goes
-/// on at the new address at once.
+/// Follows what the module asks of discovery until the exchange is gone. One call is out at a time, so that no answer of
+/// an earlier one undoes a later one's. Where `service` changes, it is made anew at the new address at once.
 pub async fn run(
     exchange: PgExchange,
     mut asks: UnboundedReceiver<Ask>,
     mut service: watch::Receiver<SocketAddr>,
     lister: SharedLister,
 ) {
-    let mut watch: Option<JoinHandle<()>> = None;
+    let mut out: Option<(Ask, JoinHandle<()>)> = None;
     loop {
         let ask = tokio::select! {
             ask = asks.recv() => match ask {
                 Some(ask) => ask,
                 None => return,
             },
-            Ok(()) = service.changed() => Ask::Watch(watch.is_some()),
+            Ok(()) = service.changed() => match &out {
+                Some((ask, _)) => *ask,
+                None => continue,
+            },
         };
-        let (exchange, lister) = (exchange.clone(), lister.clone());
-        let service = *service.borrow_and_update();
-        let call = move |watch: bool| async move {
-            let from = lister.borrow().rev;
-            let heard = |line: Option<Listing>| {
-                let nothing = || {
-                    lister.borrow_mut().live = true;
-                    (View::Changes(Vec::new()), Vec::new())
-                };
-                let (view, addresses) = line.map_or_else(nothing, |l| lister.borrow_mut().read(l, false));
-                exchange.listed(view, addresses);
-            };
-            let result = if watch { follow(service, from, heard).await } else { fetch(service, heard).await };
+        // Asked again: what runs has not answered, or is not trusted any more.
+        if let Some((_, old)) = out.take() {
+            old.abort();
+        }
+        if ask == Ask::Watch(false) {
+            continue;
+        }
+        let (exchange, lister, service) = (exchange.clone(), lister.clone(), *service.borrow_and_update());
+        let call = async move {
+            let watches = ask == Ask::Watch(true);
+            let result = call(service, watches, &exchange, &lister).await;
             if let Err(e) = result {
-                log::warn!("discovery {}: {e}", if watch { "watch ended" } else { "call failed" });
+                log::warn!("discovery {}: {e}", if watches { "watch ended" } else { "call failed" });
                 exchange.listed(View::Refused, []);
             }
         };
-        match ask {
-            // Asked again: what runs has not answered, or is not trusted any more.
-            Ask::Watch(on) => {
-                if let Some(old) = watch.take() {
-                    old.abort();
-                }
-                watch = on.then(|| tokio::task::spawn_local(call(true)));
-            }
-            Ask::Fetch => {
-                tokio::task::spawn_local(call(false));
-            }
-        }
+        out = Some((ask, tokio::task::spawn_local(call)));
     }
 }
 
-async fn fetch(service: SocketAddr, heard: impl FnOnce(Option<Listing>)) -> io::Result<()> {
-    let mut http = Http::get(service, "/v1/endpoints").await?;
-    let body = http.body().await?;
-    heard(Some(serde_json::from_slice(&body)?));
-    Ok(())
-}
-
-/// Watches until the watch ends, which is always a failure.
-async fn follow(service: SocketAddr, from: u64, heard: impl Fn(Option<Listing>)) -> io::Result<()> {
+/// Asks for the whole list once, or watches until the watch ends, which is always a failure.
+async fn call(
+    service: SocketAddr,
+    watches: bool,
+    exchange: &PgExchange,
+    lister: &SharedLister,
+) -> io::Result<()> {
+    let heard = |listing: Option<Listing>| {
+        let listed = match listing {
+            Some(listing) => lister.borrow_mut().read(listing, false),
+            None => {
+                lister.borrow_mut().live = true;
+                Some((View::Changes(Vec::new()), Vec::new()))
+            }
+        };
+        let (view, addresses) = listed.ok_or_else(|| io::Error::other("the list's version went back"))?;
+        exchange.listed(view, addresses);
+        Ok::<(), io::Error>(())
+    };
+    if !watches {
+        let mut http = Http::get(service, "/v1/endpoints").await?;
+        return heard(Some(serde_json::from_slice(&http.body().await?)?));
+    }
+    let from = lister.borrow().rev;
     let mut http = Http::get(service, &format!("/v1/endpoints?watch=1&from={from}")).await?;
     let mut first = true;
     loop {
-        let line = http.line().await?;
-        if !line.trim_ascii().is_empty() {
-            heard(Some(serde_json::from_slice(&line)?));
-        } else if first {
-            heard(None); // nothing has changed, but the watch stands
+        let listing = http.value().await?;
+        http.until = Instant::now() + SILENCE_MOST;
+        // An empty line: nothing has changed, but the watch stands.
+        if first || listing.is_some() {
+            heard(listing)?;
         }
         first = false;
     }
@@ -297,17 +310,30 @@
     /// Left of the present chunk, or of the body.
     left: usize,
     done: bool,
+    /// How much of the body was looked through for the end of a value.
+    seen: usize,
+    /// When what is waited for must have come, whole.
+    until: Instant,
 }
 
 impl Http {
     async fn get(service: SocketAddr, path: &str) -> io::Result<Self> {
+        let until = Instant::now() + ANSWERED_WITHIN;
         let stream = timeout(CONNECT_WITHIN, TcpStream::connect(service)).await??;
         stream.set_nodelay(true)?;
         let request = format!("GET {path} HTTP/1.1\r\nHost: {service}\r\nAccept: application/json\r\n\r\n");
         write_all(&stream, &mut [IoSlice::new(request.as_bytes())]).await?;
-        let (framing, done) = (Framing::ToEnd, false);
-        let mut http =
-            Self { stream, pool: Pool::default(), raw: Vec::new(), body: Vec::new(), framing, left: 0, done };
+        let mut http = Self {
+            stream,
+            pool: Pool::default(),
+            raw: Vec::new(),
+            body: Vec::new(),
+            framing: Framing::ToEnd,
+            left: 0,
+            done: false,
+            seen: 0,
+            until,
+        };
         let end = loop {
             if let Some(end) = find(&http.raw, b"\r\n\r\n") {
                 break end;
@@ -330,11 +356,11 @@
     /// Reads once; silence and the end of the connection are failures.
     async fn more(&mut self) -> io::Result<()> {
         let mut chain = self.pool.chain();
-        if timeout(SILENCE_MOST, chain.fill(&self.stream)).await?? == 0 {
+        if timeout_at(self.until, chain.fill(&self.stream)).await?? == 0 {
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
         chain.pieces(0..chain.len()).for_each(|piece| self.raw.extend_from_slice(piece));
-        if self.raw.len() + self.body.len() > LINE_MOST {
+        if self.raw.len() + self.body.len() > LIST_MOST {
             return Err(io::ErrorKind::InvalidData.into());
         }
         Ok(())
@@ -376,12 +402,30 @@
         Ok(std::mem::take(&mut self.body))
     }
 
-    /// The next line of the body, without its end.
-    async fn line(&mut self) -> io::Result<Vec<u8>> {
+    /// The next JSON value of the body, once it is whole, however it is laid out; none for an empty line.
+    async fn value(&mut self) -> io::Result<Option<Listing>> {
         loop {
-            if let Some(end) = find(&self.body, b"\n") {
-                return Ok(self.body.drain(..=end).take(end).collect());
+            let first = self.body.iter().position(|byte| *byte == b'\n' || !byte.is_ascii_whitespace());
+            if let Some(end) = first.filter(|at| self.body[*at] == b'\n') {
+                self.body.drain(..=end);
+                self.seen = 0;
+                return Ok(None);
+            }
+            // A value ends with its brace, and only there it is worth a look.
+            if self.body[self.seen..].contains(&b'}') {
+                let mut values = serde_json::Deserializer::from_slice(&self.body).into_iter();
+                match values.next() {
+                    Some(Err(e)) if e.is_eof() => {}
+                    Some(listing) => {
+                        let (listing, end) = (listing?, values.byte_offset());
+                        self.body.drain(..end);
+                        self.seen = 0;
+                        return Ok(Some(listing));
+                    }
+                    None => {}
+                }
             }
+            self.seen = self.body.len();
             if self.done {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -100,8 +100,8 @@
     Address(ServerId, SocketAddr),
     /// A server is gone for good.
     Forget(ServerId),
-    /// Connections must be up within the first time, and are not used again after the second one idle.
-    Patience(Duration, Duration),
+    /// New settings, with the time after which data servers close a connection that stands idle.
+    Retune(Box<Settings>, Duration),
     /// So many sockets are left to the side of the data servers by that of the clients.
     Sockets(usize),
     /// The part of all sockets and buffers that may be used, the rest being another process's.
@@ -162,9 +162,17 @@
     fn hear(&self) -> Vec<Word>;
 }
 
+/// Who waits for the answer to a request.
+pub trait Caller: std::fmt::Debug {
+    /// Whether it has gone by now. Asked just before anything is sent for it.
+    fn is_gone(&self) -> bool;
+}
+
 /// A request as the client side hands it in; its id is given here.
 #[derive(Debug, Clone, Default)]
 pub struct Call {
+    /// Who waits for it; without one, somebody always does.
+    pub caller: Option<Rc<dyn Caller>>,
     /// Its class.
     pub class: ClassId,
     /// Its group.
@@ -183,6 +191,7 @@
 
 struct Open<Q, A> {
     query: Rc<Q>,
+    caller: Option<Rc<dyn Caller>>,
     class: ClassId,
     bound: Option<Duration>,
     taken: Duration,
@@ -222,6 +231,9 @@
     /// The servers that the list holds, and the groups that it has ever named.
     servers: BTreeSet<ServerId>,
     groups: HashSet<GroupId>,
+    /// Those of them that drain, and those that the operators took out.
+    draining: BTreeSet<ServerId>,
+    out_by_hand: BTreeSet<ServerId>,
     requests: u64,
 }
 
@@ -242,9 +254,17 @@
             dropped.extend(self.servers.difference(&present));
         }
         self.servers.extend(present);
+        for entry in entries {
+            if entry.health == Health::Draining {
+                self.draining.insert(entry.server);
+            } else {
+                self.draining.remove(&entry.server);
+            }
+        }
         dropped.retain(|server| !keeps_gone && self.servers.remove(server));
         for server in &dropped {
             self.positions.remove(server);
+            self.draining.remove(server);
         }
         dropped.into_iter()
     }
@@ -292,6 +312,8 @@
             positions: BTreeMap::new(),
             servers: BTreeSet::new(),
             groups: HashSet::new(),
+            draining: BTreeSet::new(),
+            out_by_hand: BTreeSet::new(),
             requests: 0,
         };
         let ((orders, to_servers), (asks, to_discovery)) = (unbounded_channel(), unbounded_channel());
@@ -322,8 +344,9 @@
         let writes = writes.map(Rc::from);
         let deadline = now + call.time_left;
         let (class, query, most_attempts) = (call.class, Rc::new(query), books.most_attempts);
-        let (taken, attempts) = (now, 0);
-        let open = Open { query, class, bound, taken, deadline, attempts, most_attempts, writes, done };
+        let (taken, attempts, caller) = (now, 0, call.caller);
+        let open =
+            Open { query, caller, class, bound, taken, deadline, attempts, most_attempts, writes, done };
         books.open.insert(id, open);
         let wrote_ago = call.after_unix_ms.map(|ms| now.saturating_sub(self.0.clock.of_unix_ms(ms)));
         books.events.push(Event::Request(Request {
@@ -351,6 +374,24 @@
         }
     }
 
+    /// Whether an attempt may still be written, asked just before its first byte is: its client is there, nobody has
+    /// answered it, and its server has not been withdrawn since it was decided on.
+    pub fn may_write(&self, (request, _): Key, server: ServerId) -> bool {
+        let caller = self.0.books.borrow().open.get(&request).map(|open| open.caller.clone());
+        let gone = caller.as_ref().is_some_and(|caller| caller.as_ref().is_some_and(|c| c.is_gone()));
+        if gone {
+            self.left(request);
+        }
+        caller.is_some() && !gone && self.takes_new(server)
+    }
+
+    /// Whether anything new may go to a server, by what the list and the operators say of it now.
+    pub fn takes_new(&self, server: ServerId) -> bool {
+        let books = self.0.books.borrow();
+        let listed = self.0.keeps_gone || books.servers.contains(&server);
+        listed && !books.draining.contains(&server) && !books.out_by_hand.contains(&server)
+    }
+
     /// An attempt ended. What comes for one that has ended before is dropped.
     pub fn ended(&self, key: Key, ending: Ending<A>) {
         let now = self.0.clock.now();
@@ -483,6 +524,9 @@
     pub fn ordered(&self, server: ServerId, out: bool) {
         if out {
             self.order(Order::Close(server));
+            self.0.books.borrow_mut().out_by_hand.insert(server);
+        } else {
+            self.0.books.borrow_mut().out_by_hand.remove(&server);
         }
         self.tell(if out { Event::Offline(server) } else { Event::Online(server) });
     }
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -24,7 +24,6 @@
 use super::pg;
 use crate::estimate::{Gauge, Memory};
 use crate::interface::*;
-use crate::settings::Env;
 
 /// The user and database that data servers are asked for; they welcome any.
 const LOGIN: (&str, &str) = ("worker", "catalog");
@@ -38,8 +37,9 @@
 const WHOLE_MOST: usize = 64 * 1024 + 64;
 /// Bytes of a large value that are read before they are passed on.
 const PIECE: usize = 32 * 1024;
-/// Time after which an attempt that has not begun is decided on again: its server may drain by now.
-const SENT_WITHIN: Duration = Duration::from_millis(1500);
+/// Part of the time in which nothing new may go to a server that drains after which an attempt, or a probe, that has not
+/// begun is decided on again: its server may drain by now, and nobody have told so.
+const BEGUN_SHARE: f64 = 0.75;
 /// Milliseconds by which the position in a load report may be told too high: it is said to whole ones, and not which way
 /// it is rounded.
 const REPORT_ROUNDED: f64 = 1.0;
@@ -212,16 +212,19 @@
     pub conn_idle: Duration,
     /// Whether load reports are to be had by probes.
     pub probe_reports: bool,
+    /// Time within which what was decided on must begin; none where the settings bound nothing.
+    pub begun_within: Option<Duration>,
 }
 
 impl Options {
     /// What the settings say, with a budget of sockets.
-    pub fn new(settings: &Settings, env: &Env, sockets: usize) -> Self {
+    pub fn new(settings: &Settings, conn_idle: Duration, sockets: usize) -> Self {
         Self {
             sockets,
             connect_timeout: settings.limits.connect_timeout,
-            conn_idle: env.conn_idle.mul_f64(IDLE_SHARE),
+            conn_idle: conn_idle.mul_f64(IDLE_SHARE),
             probe_reports: settings.reports == Reports::Pull,
+            begun_within: Some(settings.contract.stop_within.mul_f64(BEGUN_SHARE)).filter(|at| !at.is_zero()),
         }
     }
 }
@@ -332,9 +335,9 @@
                     self.idle.borrow_mut().remove(&server);
                 }
             }
-            Order::Patience(connect, idle) => {
-                let mut options = self.options.borrow_mut();
-                (options.connect_timeout, options.conn_idle) = (connect, idle.mul_f64(IDLE_SHARE));
+            Order::Retune(settings, conn_idle) => {
+                let sockets = self.options.borrow().sockets;
+                self.options.replace(Options::new(&settings, conn_idle, sockets));
             }
             Order::Sockets(left) => {
                 self.left.set(left);
@@ -431,8 +434,9 @@
         };
         // A bound on age counts from the send, and so does a drain. A connection may have taken long to come up:
         // then the attempt goes back unsent, and is decided on again with what is known by now.
-        let stale = ordered.elapsed() >= SENT_WITHIN;
-        if stale || send.fresh_until.is_some_and(|until| Instant::now() >= until) {
+        let stale = self.options.borrow().begun_within.is_some_and(|within| ordered.elapsed() >= within)
+            || send.fresh_until.is_some_and(|until| Instant::now() >= until);
+        if stale || !self.exchange.may_write(send.key, send.server) {
             self.give_back(send.server, connection);
             return Ok(Ending::without_answer(Outcome::Moot));
         }
@@ -478,6 +482,9 @@
             let Checkout::Ready(connection) = self.checkout(server, &Cell::new(Stage::Waits)).await? else {
                 return Err(io::ErrorKind::ConnectionRefused.into());
             };
+            if !self.exchange.takes_new(server) {
+                return Err(io::ErrorKind::NotConnected.into());
+            }
             write_all(&connection.stream, &mut [IoSlice::new(&pg::simple_query(text))]).await?;
             let reply = self.reply(&connection.stream, Asked::Statement).await?;
             if reply.reusable() {
@@ -486,7 +493,8 @@
             Ok::<Reply, io::Error>(reply)
         };
         // A probe that takes longer than a connection may has shown what it was to show.
-        match timeout_at(self.connected_by(), ask).await {
+        let within = self.options.borrow().begun_within.map(|within| Instant::now() + within);
+        match timeout_at(within.into_iter().fold(self.connected_by(), Instant::min), ask).await {
             Ok(Ok(reply)) => (reply.served(), reply.probe_report(self.exchange.clock())),
             // What can't be read came from a server that is up.
             Ok(Err(e)) => (e.kind() == io::ErrorKind::InvalidData, None),
--- a/tests/exchange.rs
+++ b/tests/exchange.rs
@@ -165,6 +165,7 @@
         connect_timeout: ms(5000),
         conn_idle: std::time::Duration::ZERO,
         probe_reports: false,
+        begun_within: None,
     };
     let pool = Pool::default();
     tokio::task::LocalSet::new().block_on(&runtime, async {
