--- a/core/src/decide.rs
+++ b/core/src/decide.rs
@@ -238,7 +238,7 @@
                 group.set.withdraws(*id, now, server.listed);
             }
         }
-        self.groups.values_mut().for_each(|g| g.set.retain(|id| g.members.contains(&id)));
+        self.groups.values_mut().for_each(|g| g.set.retain(now, |id| g.members.contains(&id)));
     }
 
     fn accept(&mut self, request: Request, actions: &mut Vec<Action>) {
--- a/core/src/failover/set.rs
+++ b/core/src/failover/set.rs
@@ -259,8 +259,11 @@
         }
     }
 
-    /// Drops what is known of servers that are no members any more.
-    pub fn retain(&mut self, is_member: impl Fn(ServerId) -> bool) {
+    /// Drops what is known of servers that are no members any more. A primary that is none has gone.
+    pub fn retain(&mut self, now: f64, is_member: impl Fn(ServerId) -> bool) {
+        if let Some(gone) = self.primary().filter(|primary| !is_member(*primary)) {
+            self.withdraws(gone, now, false);
+        }
         self.primacy.retain(is_member);
     }
 
