Force the word to end at each place where a request may stand

The news of a replaced primary stands once in core/tests/fleet.rs. Comments and tests only; product code as in.

--- a/core/tests/fleet.rs
+++ b/core/tests/fleet.rs
@@ -174,6 +174,13 @@
     assert!(first < 300 && again < 1_100 && failed == 0, "{first} ms, {again} ms, {failed} failed");
 }
 
+/// The primary leaves, and one that has just started takes its place.
+fn primary_replaced(now: Duration) -> Event {
+    let left = Entry { health: Health::Draining, ..entry(1, false) };
+    let new = Entry { started: Some(now - ms(500)), ..entry(4, true) };
+    Event::View(View::Changes(vec![left, new]))
+}
+
 /// A hundred gateways send a set 40 writes and 60 reads a second. After 30 s its primary leaves, and one that has just
 /// started takes its place. Gives what the new one got in each second, and the share of writes served in each.
 fn a_cold_primary() -> (Vec<usize>, Vec<f64>) {
@@ -189,9 +196,7 @@
             b.now += ms(10);
             let mut events = Vec::new();
             if at == change {
-                let left = Entry { health: Health::Draining, ..entry(1, false) };
-                let new = Entry { started: Some(b.now - ms(500)), ..entry(4, true) };
-                events.push(Event::View(View::Changes(vec![left, new])));
+                events.push(primary_replaced(b.now));
             }
             if index == chosen {
                 events.push(Event::Request(b.request(class)));
@@ -255,9 +260,7 @@
             b.now += ms(10);
             let mut events = Vec::new();
             if at == change {
-                let left = Entry { health: Health::Draining, ..entry(1, false) };
-                let new = Entry { started: Some(b.now - ms(500)), ..entry(4, true) };
-                events.push(Event::View(View::Changes(vec![left, new])));
+                events.push(primary_replaced(b.now));
             }
             for _ in 0..chosen[index] {
                 n += 1;
--- a/src/net/clients.rs
+++ b/src/net/clients.rs
@@ -509,8 +509,8 @@
     }
 
     /// Closes the client that has longest stood without an open request, if any may be closed: one that has ended
-    /// anyway, else one that has asked nothing yet, else one between requests. Guards against clients that connect and stay, and keep
-    /// out those that have something to ask.
+    /// anyway, else one that has asked nothing yet, else one between requests. Guards against clients that connect and
+    /// stay, and keep out those that have something to ask.
     fn make_room(&self) -> bool {
         let longest = |standing: &Since, least: Duration| {
             let first = standing.borrow().first().copied();
--- a/tests/moments.rs
+++ b/tests/moments.rs
@@ -429,3 +429,60 @@
     assert_eq!(client.0.read(&mut [0]).expect("a clean end"), 0);
     assert!(proxy.child.wait().expect("it ends").success());
 }
+
+/// Where a request stands when the process is told to end. Each gets one final answer, and its connection a clean end.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Stands {
+    HalfRead,
+    Dials,
+    AtAServerThatHangs,
+    InTheListenQueue,
+    BeforeAnyList,
+}
+
+#[rstest]
+#[case::half_read(Stands::HalfRead, "TDCZ")]
+#[case::dials(Stands::Dials, "TDCZ")]
+#[case::at_a_server_that_hangs(Stands::AtAServerThatHangs, "EZ")]
+#[case::in_the_listen_queue(Stands::InTheListenQueue, "RZTDCZ")]
+#[case::before_any_list(Stands::BeforeAnyList, "EZ")]
+fn a_request_is_answered_wherever_the_word_to_end_finds_it(#[case] stands: Stands, #[case] shape: &str) {
+    let hangs = stands == Stands::AtAServerThatHangs;
+    let server = DataServer::start(true, move |text| if hangs { Say::Nothing } else { ok(text) });
+    let late = Late::start();
+    let known = match stands {
+        Stands::Dials => vec![late.listed("a", "read-write")],
+        Stands::BeforeAnyList => vec![],
+        _ => vec![server.listed("a", "read-write", "Ready")],
+    };
+    let mut proxy = launch(&patient(), &known, None);
+    let request = query(&write(2000));
+    let half = if stands == Stands::HalfRead { request.len() / 2 } else { request.len() };
+    let mut client = if stands == Stands::InTheListenQueue {
+        proxy.signal("STOP");
+        let mut client = Client::raw(&proxy);
+        client.send(&[startup(), request.clone()].concat());
+        client
+    } else {
+        let mut client = Client::connect(&proxy);
+        client.send(&request[..half]);
+        client
+    };
+    let dialled = (stands == Stands::Dials).then(|| late.dialled());
+    if hangs {
+        until("it is sent", || server.count() == 1);
+    }
+    proxy.signal("TERM");
+    proxy.signal("CONT");
+    proxy.logged("told to end");
+    client.send(&request[half..]);
+    if let Some(mut stream) = dialled {
+        stream.write_all(&welcome()).expect("it reads");
+        assert_eq!(read_message(&mut stream).map(|m| m.0), Some(b'Q'));
+        stream.write_all(&[row(b"v"), message(b'Z', b"I")].concat()).expect("it reads");
+    }
+    let welcomed = if stands == Stands::InTheListenQueue { client.answer() } else { Vec::new() };
+    assert_eq!(kinds(&[welcomed, client.answer()].concat()), shape);
+    assert_eq!(client.0.read(&mut [0]).expect("a clean end"), 0);
+    assert!(proxy.child.wait().expect("it ends").success());
+}
