--- a/src/net/exchange.rs
+++ b/src/net/exchange.rs
@@ -378,11 +378,12 @@
     /// answered it, and its server has not been withdrawn since it was decided on.
     pub fn may_write(&self, (request, _): Key, server: ServerId) -> bool {
         let caller = self.0.books.borrow().open.get(&request).map(|open| open.caller.clone());
-        let gone = caller.as_ref().is_some_and(|caller| caller.as_ref().is_some_and(|c| c.is_gone()));
-        if gone {
+        let Some(caller) = caller else { return false };
+        if caller.is_some_and(|caller| caller.is_gone()) {
             self.left(request);
+            return false;
         }
-        caller.is_some() && !gone && self.takes_new(server)
+        self.takes_new(server)
     }
 
     /// Whether anything new may go to a server, by what the list and the operators say of it now.
--- a/src/net/servers.rs
+++ b/src/net/servers.rs
@@ -396,6 +396,11 @@
         Instant::now() + self.options.borrow().connect_timeout
     }
 
+    /// When what is decided on now must have begun, where the settings bound that.
+    fn begun_by(&self) -> Option<Instant> {
+        self.options.borrow().begun_within.map(|within| Instant::now() + within)
+    }
+
     fn now(&self) -> f64 {
         self.exchange.clock().now().as_secs_f64()
     }
@@ -427,15 +432,14 @@
         send: &Send<Query>,
         stage: &Cell<Stage>,
     ) -> io::Result<Ending<Answer>> {
-        let ordered = Instant::now();
+        let begun_by = self.begun_by();
         let connection = match self.checkout(send.server, stage).await? {
             Checkout::Ready(connection) => connection,
             Checkout::Rejected(outcome) => return Ok(Ending::without_answer(outcome)),
         };
         // A bound on age counts from the send, and so does a drain. A connection may have taken long to come up:
         // then the attempt goes back unsent, and is decided on again with what is known by now.
-        let stale = self.options.borrow().begun_within.is_some_and(|within| ordered.elapsed() >= within)
-            || send.fresh_until.is_some_and(|until| Instant::now() >= until);
+        let stale = begun_by.into_iter().chain(send.fresh_until).any(|until| Instant::now() >= until);
         if stale || !self.exchange.may_write(send.key, send.server) {
             self.give_back(send.server, connection);
             return Ok(Ending::without_answer(Outcome::Moot));
@@ -493,8 +497,9 @@
             Ok::<Reply, io::Error>(reply)
         };
         // A probe that takes longer than a connection may has shown what it was to show.
-        let within = self.options.borrow().begun_within.map(|within| Instant::now() + within);
-        match timeout_at(within.into_iter().fold(self.connected_by(), Instant::min), ask).await {
+        let connected_by = self.connected_by();
+        let until = self.begun_by().map_or(connected_by, |by| by.min(connected_by));
+        match timeout_at(until, ask).await {
             Ok(Ok(reply)) => (reply.served(), reply.probe_report(self.exchange.clock())),
             // What can't be read came from a server that is up.
             Ok(Err(e)) => (e.kind() == io::ErrorKind::InvalidData, None),
