Log why a primary counts as lost, and name each rejected request by its client's id

Change: the phase lines "suspected" and "without a primary" carry the cause, how often it occurred, and all inputs of the silence threshold; "stopped responding" carries the log odds and their inputs; rejections, failures and clients that leave name the request by the client's id; a connection that ends over an unfinished message says so; each attempt's end is a line at trace. No decision changes: the recorded action hashes are equal.

Tests: the core library's, the layout test and the hash test pass; clippy passes.

--- a/core/src/failover/failure_detector.rs
+++ b/core/src/failover/failure_detector.rs
@@ -47,6 +47,21 @@
         self.deviation_secs += DEVIATION_GAIN * (deviation - self.deviation_secs);
         self.response_count += 1.0;
     }
+
+    /// Smoothed mean in seconds.
+    pub fn mean_secs(&self) -> f64 {
+        self.mean_secs
+    }
+
+    /// Mean deviation in seconds.
+    pub fn deviation_secs(&self) -> f64 {
+        self.deviation_secs
+    }
+
+    /// Number of response times recorded.
+    pub fn response_count(&self) -> f64 {
+        self.response_count
+    }
 }
 
 /// What the threshold on a primary's silence depends on, beside its response times.
--- a/core/src/failover/replica_set.rs
+++ b/core/src/failover/replica_set.rs
@@ -86,6 +86,11 @@
         (claim.lost_at.is_none() && self.phase.takes_writes()).then_some(claim.server)
     }
 
+    /// How long the primary takes to respond.
+    pub fn response_times(&self) -> ResponseTimes {
+        self.response_times
+    }
+
     /// Whether a server was primary and may be unaware that it no longer is. What it reports of its role and
     /// its position is stale.
     pub fn is_deposed(&self, server: ServerId) -> bool {
--- a/core/src/routing/cluster/mod.rs
+++ b/core/src/routing/cluster/mod.rs
@@ -13,7 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use crate::api::{GroupId, LoadReport, Outcome, ServerId, Settings};
-use crate::failover::{FailoverDurations, InquiryCandidate, Phase, RoleReport};
+use crate::failover::{FailoverDurations, InquiryCandidate, Phase, PrimaryLossCounts, RoleReport};
 use crate::time::secs;
 
 use super::group::{Group, GroupTable};
@@ -48,6 +48,7 @@
     out_of_service: BTreeSet<ServerId>,
     groups: GroupTable,
     failover_durations: FailoverDurations,
+    primary_losses: PrimaryLossCounts,
 }
 
 impl Cluster {
--- a/core/src/routing/cluster/primary_watch.rs
+++ b/core/src/routing/cluster/primary_watch.rs
@@ -1,10 +1,11 @@
 //! Watches each group's primary: how long it has been silent, compared with what is usual there.
 
 use crate::api::{Action, Settings};
-use crate::failover::{PrimaryObservation, SilenceThreshold};
+use crate::failover::{Phase, PrimaryLossCause, PrimaryLossEvidence, PrimaryObservation, SilenceThreshold};
 
 use super::Cluster;
 use crate::routing::in_flight::InFlightTable;
+use crate::routing::server::{DownCause, DownState, Server};
 
 impl Cluster {
     /// Compares the silence of each primary with the threshold. `slowest_mean_secs` is the mean response time
@@ -36,10 +37,29 @@
                 silence_threshold,
                 queued_writes,
             };
-            if let Some(phase) = set.observe_primary(now, &observation) {
-                let text = format!("group {} entered phase {phase}, {queued_writes} writes buffered", id.0);
-                actions.push(Action::Log(text));
+            let Some(phase) = set.observe_primary(now, &observation) else { continue };
+            let mut text = format!("group {} entered phase {phase}, {queued_writes} writes buffered", id.0);
+            if matches!(set.phase(), Phase::Suspected { .. } | Phase::NoPrimary { .. }) {
+                let cause = loss_cause(server);
+                let evidence = PrimaryLossEvidence {
+                    server: watched,
+                    cause,
+                    cause_count: self.primary_losses.record(cause),
+                    observation,
+                    response_times: set.response_times(),
+                    now,
+                };
+                text += &format!(": {evidence}");
             }
+            actions.push(Action::Log(text));
         }
     }
 }
+
+fn loss_cause(primary: &Server) -> PrimaryLossCause {
+    match primary.down().map(DownState::cause) {
+        None => PrimaryLossCause::Silent,
+        Some(DownCause::Dead) => PrimaryLossCause::Dead,
+        Some(DownCause::Unresponsive) => PrimaryLossCause::Unresponsive,
+    }
+}
--- a/core/src/routing/outlier_detection.rs
+++ b/core/src/routing/outlier_detection.rs
@@ -5,6 +5,8 @@
 //! fault that concerns all. The evidence adds up as log odds; any response clears it. Owns the shares of lost
 //! attempts and of refused connections over all servers.
 
+use std::fmt;
+
 use crate::api::{Action, Outcome, Settings};
 use crate::ewma::Ewma;
 use crate::time::secs;
@@ -43,6 +45,40 @@
     pub is_steady_primary: bool,
 }
 
+/// The evidence on which a server counts as down. Its [`fmt::Display`] is a line of the log.
+struct DownEvidence<'e, 's> {
+    server: &'e Server,
+    end: &'e Completion,
+    context: &'e CompletionContext<'s>,
+    /// What the last attempt added to the suspicion.
+    log_odds: f64,
+    lost_share: f64,
+}
+
+impl fmt::Display for DownEvidence<'_, '_> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { server, end, context, log_odds, lost_share } = self;
+        let millis = |secs: f64| (secs * 1e3).round();
+        write!(
+            formatter,
+            "server {} stopped responding: outcome={:?} took_ms={} usual_ms={} deviation_ms={} \
+             log_odds={:.2} suspicion={:.2} lost_share={:.3} last_response_ms={} \
+             in_flight={} steady_primary={}",
+            end.server.0,
+            end.outcome,
+            millis(end.took_secs),
+            millis(end.usual_secs),
+            millis(context.deviation_secs),
+            log_odds,
+            server.suspicion(),
+            lost_share,
+            millis(context.now - server.replication().last_response_at()),
+            server.load().in_flight(),
+            context.is_steady_primary,
+        )
+    }
+}
+
 /// The detector.
 #[derive(Default)]
 pub(super) struct OutlierDetector {
@@ -86,7 +122,8 @@
             let is_dead = end.outcome != Outcome::Timeout;
             let cause = if is_dead { DownCause::Dead } else { DownCause::Unresponsive };
             if server.attempt_lost(now, log_odds, cause) == SuspicionChange::Down {
-                actions.push(Action::Log(format!("server {} stopped responding", end.server.0)));
+                let evidence = DownEvidence { server, end, context, log_odds, lost_share };
+                actions.push(Action::Log(evidence.to_string()));
             }
         }
     }
--- a/core/src/routing/server/faults.rs
+++ b/core/src/routing/server/faults.rs
@@ -50,6 +50,11 @@
         self.down.take()
     }
 
+    /// The evidence that it does not respond, as log odds.
+    pub fn suspicion(&self) -> f64 {
+        self.suspicion
+    }
+
     /// An attempt got no response, which adds these log odds to the suspicion.
     pub fn attempt_lost(&mut self, now: f64, log_odds: f64, cause: DownCause) -> SuspicionChange {
         self.suspicion += log_odds;
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -139,9 +139,8 @@
             evicted,
             must_hurry,
         };
-        if let Err(e) = connection.serve().await {
-            log::debug!("client connection: {e}");
-        }
+        let served = connection.serve().await;
+        connection.log_end(served);
         match connection.new_owner() {
             Some(successor) => connection.hand_over(&successor).await,
             None => {
@@ -241,6 +240,18 @@
         }
     }
 
+    /// Writes to the log how its service ended, where a client may miss something.
+    fn log_end(&self, served: io::Result<()>) {
+        let number = self.number;
+        if let Err(e) = served {
+            log::debug!("client connection {number}: {e}");
+        }
+        let unread_bytes = self.inbound.bytes().len();
+        if unread_bytes > 0 {
+            log::debug!("client connection {number}: ended with {unread_bytes} bytes of unfinished messages");
+        }
+    }
+
     fn idle_state(&self) -> IdleState {
         match self.stage {
             _ if !self.inbound.bytes().is_empty() => IdleState::PartialMessage,
@@ -360,7 +371,7 @@
     }
 
     async fn hand_over(self, successor: &Successor) {
-        let Self { shared, stream, inbound, stage, .. } = self;
+        let Self { shared, number, stream, inbound, stage, .. } = self;
         drop(inbound);
         let Some(stream) = Rc::into_inner(stream) else { return };
         match successor.hand_over_client(stream, stage == Stage::Started).await {
@@ -368,7 +379,7 @@
                 let limit = shared.reduced_limit.get();
                 shared.reduced_limit.set(limit.map(|limit| limit.saturating_sub(1)));
             }
-            Err(e) => log::debug!("client connection: can't be handed over: {e}"),
+            Err(e) => log::debug!("client connection {number}: can't be handed over: {e}"),
         }
     }
 
--- a/src/net/client/query.rs
+++ b/src/net/client/query.rs
@@ -129,6 +129,7 @@
         // behind others on its connection was its client's time too.
         let timeout = statement.timeout.min(class.deadline).saturating_sub(received_at.elapsed());
         NewRequest {
+            client_request_id: statement.id,
             client: Some(self.stream.clone()),
             class: *id,
             group: GroupId(statement.group),
--- a/src/net/driver/attempt_table.rs
+++ b/src/net/driver/attempt_table.rs
@@ -20,6 +20,18 @@
 }
 
 impl InFlightAttempt {
+    /// Writes its end to the log.
+    pub(super) fn log_end(&self, id: AttemptId, now: Duration, outcome: Outcome) {
+        let took_ms = now.saturating_sub(self.sent_at).as_millis();
+        log::trace!(
+            "attempt {} of request number {} of class {} at server {}: {outcome:?} after {took_ms} ms",
+            id.number.0,
+            id.request.0,
+            self.class.0,
+            self.server.0
+        );
+    }
+
     /// The report of its end to the routing engine: without a response, and with its request not complete.
     pub(super) fn ended(&self, id: AttemptId, now: Duration, outcome: Outcome) -> AttemptEnded {
         AttemptEnded {
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -111,6 +111,7 @@
         let writing_session = state.rules.writing_session(&request);
         let max_attempts = state.rules.max_attempts();
         let id = state.requests.insert(OpenRequest {
+            client_request_id: request.client_request_id,
             query: Rc::new(query),
             client: request.client,
             class: request.class,
@@ -142,7 +143,10 @@
     /// Reports that a request's client has disconnected. The request gets no response.
     pub fn client_gone(&self, request: RequestId) {
         let mut state = self.0.state.borrow_mut();
-        if state.requests.remove(request).is_some() {
+        if let Some(open) = state.requests.remove(request) {
+            let waited_ms = self.0.clock.now().saturating_sub(open.submitted_at).as_millis();
+            let client_request_id = &open.client_request_id;
+            log::debug!("client of request {client_request_id} disconnected after {waited_ms} ms");
             state.events.push(Event::ClientGone(request));
             self.0.event_queued.notify_one();
         }
@@ -174,6 +178,7 @@
     pub fn attempt_ended(&self, id: AttemptId, result: AttemptResult<A>) {
         let now = self.0.clock.now();
         let Some(attempt) = self.0.state.borrow_mut().attempts.remove(id) else { return };
+        attempt.log_end(id, now, result.outcome);
         if let Some(status) = result.status {
             self.0.state.borrow_mut().endpoints.record_status(attempt.server, status);
         }
--- a/src/net/driver/request.rs
+++ b/src/net/driver/request.rs
@@ -9,6 +9,8 @@
 /// A request as the client side submits it. The driver assigns its id.
 #[derive(Debug, Clone, Default)]
 pub struct NewRequest {
+    /// The id that its client gave it. Only log lines use it.
+    pub client_request_id: String,
     /// The client that waits for the response; with `None`, a client is always taken to wait.
     pub client: Option<Rc<dyn ClientHandle>>,
     /// Its class.
--- a/src/net/driver/request_table.rs
+++ b/src/net/driver/request_table.rs
@@ -14,6 +14,8 @@
 
 /// A request in flight. Times are on the proxy's clock.
 pub(super) struct OpenRequest<Q, A> {
+    /// The id that its client gave it, for the log.
+    pub(super) client_request_id: String,
     pub(super) query: Rc<Q>,
     pub(super) client: Option<Rc<dyn ClientHandle>>,
     pub(super) class: ClassId,
--- a/src/net/driver/step.rs
+++ b/src/net/driver/step.rs
@@ -100,7 +100,9 @@
         let waited_ms = now.saturating_sub(request.submitted_at).as_millis();
         let limit_ms = request.deadline.saturating_sub(request.submitted_at).as_millis();
         log::debug!(
-            "{result} a request of class {} after {waited_ms} of {limit_ms} ms and {} attempts",
+            "{result} request {} (number {}) of class {} after {waited_ms} of {limit_ms} ms and {} attempts",
+            request.client_request_id,
+            id.0,
             request.class.0,
             request.attempts
         );
@@ -109,6 +111,7 @@
 
     fn cancel(&self, now: Duration, id: AttemptId, state: &mut State<Q, A>) {
         let Some(attempt) = state.attempts.remove(id) else { return };
+        attempt.log_end(id, now, Outcome::Cancelled);
         let request_complete = !state.requests.contains(id.request);
         state.events.push(Event::AttemptEnded(AttemptEnded {
             request_complete,
