Keep reads away from primaries until these are seen to respond in time

Cause: instances of a large fleet took primaries to be free before any response, so that all that start together send their reads there at once, and timeouts never counted in the share of late responses of all primaries, so that reads went on while nearly all of them timed out. The reads were a third of the primaries' work.

Change: a large fleet assumes a late share of 0.3 where little was observed, and the first timeout at a primary that is not known to be late counts for all primaries. Small fleets decide as before.

Tests: the two new ones fail before (an admission without an observation admits; timeouts change nothing). The core library's tests, tests/driver and the test kit's tests pass.

--- a/core/src/primary_read_admission.rs
+++ b/core/src/primary_read_admission.rs
@@ -19,8 +19,12 @@
 const LATE_SHARE: f64 = 0.5;
 /// The share of late responses over all primaries. Responses are far more frequent than those of one primary.
 const ALL_PRIMARIES: EwmaConfig = EwmaConfig { max_weight: 50.0, decay_secs: 2.0, prior_weight: 5.0 };
-/// The share of late responses that is assumed before any response.
-const PRIOR_LATE_SHARE: f64 = 0.0;
+/// The share of late responses that a large fleet assumes where little was observed: instances that start
+/// together would otherwise all send their reads to the primaries before any of them responds late.
+const LARGE_FLEET_PRIOR_LATE_SHARE: f64 = 0.3;
+/// A timeout counts for all primaries where its own primary's share of late responses is still below this, so
+/// that a single primary that fails counts once.
+const MAX_SHARE_OF_FIRST_TIMEOUT: f64 = 0.25;
 
 /// An attempt at a primary that has ended.
 pub(crate) struct PrimaryAttempt<'class> {
@@ -36,9 +40,21 @@
 #[derive(Debug, Default, Clone)]
 pub(crate) struct PrimaryReadAdmission {
     late: Ewma,
+    /// The share that is assumed before any response.
+    prior_late_share: f64,
 }
 
 impl PrimaryReadAdmission {
+    /// The admission of one instance of a large fleet.
+    pub fn of_large_fleet() -> Self {
+        Self { prior_late_share: LARGE_FLEET_PRIOR_LATE_SHARE, ..Self::default() }
+    }
+
+    /// The share of late responses of all primaries that was observed, towards 0 where little was.
+    pub fn observed_late_share(&self, now: f64) -> f64 {
+        self.late.estimate(now, 0.0, &ALL_PRIMARIES)
+    }
+
     /// Records an attempt. `set_late` is the share of late responses of the primary's set, and `config` its
     /// configuration. Early timeouts and failures are ignored: they show nothing of the primary's load.
     pub fn record(
@@ -52,9 +68,11 @@
         let is_response = attempt.outcome == Outcome::Success;
         if is_response || (is_late && attempt.outcome == Outcome::Timeout) {
             let late = f64::from(u8::from(is_late));
+            let is_first = set_late.estimate(now, 0.0, config) < MAX_SHARE_OF_FIRST_TIMEOUT;
             set_late.record(now, late, config);
-            // A timeout may be due to a failure of this primary, which shows nothing of other sets.
-            if is_response {
+            // Timeouts of one primary may be due to its failure, which shows nothing of other sets; those of
+            // many show that primaries are overloaded.
+            if is_response || is_first {
                 self.late.record(now, late, &ALL_PRIMARIES);
             }
         }
@@ -74,7 +92,7 @@
         let Some(write_weight) = writes.map(|class| class.priority_weight).max_by(f64::total_cmp) else {
             return true;
         };
-        let late_of_all = self.late.estimate(now, PRIOR_LATE_SHARE, &ALL_PRIMARIES);
+        let late_of_all = self.late.estimate(now, self.prior_late_share, &ALL_PRIMARIES);
         set_late.estimate(now, late_of_all, config) * write_weight <= class.priority_weight
     }
 }
--- a/core/src/primary_read_admission/tests.rs
+++ b/core/src/primary_read_admission/tests.rs
@@ -73,3 +73,35 @@
     assert!(admission.admits(&set, 2.0, &weighty_read, &classes, &CONFIG));
     assert!(admission.admits(&set, 2.0, &classes[READ], &classes[..1], &CONFIG), "there are no writes");
 }
+
+/// An admission of a large fleet after these attempts, each at the primary of another set.
+fn large_fleet_after(attempts: &[(f64, Outcome)]) -> PrimaryReadAdmission {
+    let (classes, mut admission) = (classes(), PrimaryReadAdmission::of_large_fleet());
+    for (elapsed_secs, outcome) in attempts {
+        let attempt = attempt(&classes[WRITE], *elapsed_secs, *outcome);
+        admission.record(&mut Ewma::default(), 1.0, &attempt, &CONFIG);
+    }
+    admission
+}
+
+fn admits_read(admission: &PrimaryReadAdmission) -> bool {
+    let classes = classes();
+    admission.admits(&Ewma::default(), 1.0, &classes[READ], &classes, &CONFIG)
+}
+
+/// Guards against the reads of all instances that start together, which overloaded the primaries.
+#[test]
+fn an_instance_of_a_large_fleet_sends_reads_to_primaries_once_one_has_responded_in_time() {
+    assert!(!admits_read(&large_fleet_after(&[])), "nothing is known of any primary");
+    assert!(admits_read(&large_fleet_after(&[(0.1, Outcome::Success); 2])));
+    assert!(!admits_read(&large_fleet_after(&[(0.4, Outcome::Success); 2])));
+}
+
+/// Guards against reads at primaries that are so overloaded that attempts there only time out.
+#[test]
+fn timeouts_at_the_primaries_of_many_sets_bar_reads_from_all() {
+    let mut attempts = vec![(0.1, Outcome::Success); 4];
+    assert!(admits_read(&large_fleet_after(&attempts)));
+    attempts.extend([(0.4, Outcome::Timeout); 4]);
+    assert!(!admits_read(&large_fleet_after(&attempts)));
+}
--- a/core/src/routing/mod.rs
+++ b/core/src/routing/mod.rs
@@ -54,6 +54,7 @@
 use crate::session_tokens::SessionTokenStore;
 use crate::time::secs;
 use cluster::{Cluster, UpdateScope};
+use fleet::is_large_fleet;
 use in_flight::InFlightTable;
 use latency_estimates::LatencyEstimates;
 use open_request::OpenRequest;
@@ -89,6 +90,14 @@
     outliers: OutlierDetector,
 }
 
+fn primary_read_admission(settings: &Settings) -> PrimaryReadAdmission {
+    if is_large_fleet(settings) {
+        PrimaryReadAdmission::of_large_fleet()
+    } else {
+        PrimaryReadAdmission::default()
+    }
+}
+
 impl RoutingEngine {
     /// An engine that knows nothing but its settings. `seed` is that of its random numbers.
     ///
@@ -113,7 +122,7 @@
             costs: RequestCosts::new(&settings.classes),
             throughput: ServerThroughput::new(settings.instance_count),
             read_admission: ReadAdmission::new(settings.classes.len()),
-            primary_reads: PrimaryReadAdmission::default(),
+            primary_reads: primary_read_admission(&settings),
             outliers: OutlierDetector::default(),
             settings,
         })
