Judge a timeout at a primary by how late all primaries respond, in a large fleet

Cause: a timeout was compared with the share of lost attempts over all servers, 3 to 10 %, while among overloaded primaries it is far more likely; and the suspicion, which begins before the attempt times out, took away the half weight that a steady primary has, so that one timeout was enough.

Change: the evidence of a timeout at a primary rests on the larger of that share and the share of late responses of all primaries. Failed connections, small fleets and fleets whose primaries respond in time are judged as before.

Tests: a_primary_is_not_lost_by_one_timeout_while_all_primaries_respond_late fails before ("server 1 stopped responding", log odds 3.51) and passes now.

--- a/core/src/routing/completion.rs
+++ b/core/src/routing/completion.rs
@@ -12,6 +12,7 @@
 use crate::time::secs;
 
 use super::cluster::ServerResponse;
+use super::fleet::is_large_fleet;
 use super::gossip::{GossipKind, GossipMessage, Timeliness};
 use super::in_flight::InFlightAttempt;
 use super::open_request::OpenRequest;
@@ -153,6 +154,9 @@
     fn record_at_server(&mut self, end: &Completion, expected_secs: f64, actions: &mut Vec<Action>) {
         let now = self.now;
         let is_steady_primary = self.cluster.is_steady_primary(end.server);
+        let is_watched_primary =
+            is_large_fleet(&self.settings) && self.cluster.led_group_mut(end.server).is_some();
+        let primary_late_share = is_watched_primary.then(|| self.primary_reads.observed_late_share(now));
         let Some(server) = self.cluster.server_mut(end.server) else { return };
         // An abandoned attempt is often still executed, and occupies the server for as long again.
         let is_abandoned = matches!(end.outcome, Outcome::Timeout | Outcome::Cancelled);
@@ -181,6 +185,7 @@
             settings: &self.settings,
             deviation_secs: self.latencies.deviation_secs(end.class),
             is_steady_primary,
+            primary_late_share,
         };
         self.outliers.attempt_ended(server, end, &context, actions);
     }
--- a/core/src/routing/outlier_detection.rs
+++ b/core/src/routing/outlier_detection.rs
@@ -43,6 +43,9 @@
     pub deviation_secs: f64,
     /// The server is the primary of a group that is in no failover.
     pub is_steady_primary: bool,
+    /// The share of late responses of all primaries, if the server is one and the fleet is large. An instance
+    /// of a small fleet sees enough of each server to judge it by itself.
+    pub primary_late_share: Option<f64>,
 }
 
 /// The evidence on which a server counts as down. Its [`fmt::Display`] is a line of the log.
@@ -118,6 +121,7 @@
         if is_short_of_connections || end.outcome == Outcome::Rejected {
             server.back_off(now);
         } else if is_lost {
+            let lost_share = lost_share.max(late_share_of_living(end, context)).min(MAX_LOST_SHARE);
             let log_odds = evidence_weight(server, end, context) * (1.0 / lost_share).ln();
             let is_dead = end.outcome != Outcome::Timeout;
             let cause = if is_dead { DownCause::Dead } else { DownCause::Unresponsive };
@@ -175,6 +179,14 @@
     }
 }
 
+/// How often a primary that lives responds as late as this attempt: where many primaries respond late, they
+/// are overloaded, and a timeout at one of them is no sign of its death. A failed connection is judged by
+/// itself.
+fn late_share_of_living(end: &Completion, context: &CompletionContext) -> f64 {
+    let late_share = context.primary_late_share.filter(|_| end.outcome == Outcome::Timeout);
+    late_share.unwrap_or(0.0)
+}
+
 /// How much a lost attempt counts against its server. Weak evidence is a broken connection, an attempt whose
 /// server has responded to others since, and a late response of a primary: all instances load it, and its
 /// silence is watched separately.
--- a/core/tests/fleet/main.rs
+++ b/core/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod discovery;
 mod load;
+mod primary_loss;
 mod reads;
 mod robustness;
 mod warm_up;
