Count a connection that is accepted during a graceful shutdown once

Operators saw: after SIGTERM a process with one late connection stayed until its drain deadline, 3.6 s in the example configuration, though the connection had closed. Cause: the connection's guard counted it, and so did the function that spawns its task, so the count never returned to zero. Evidence and fix: the second call is removed; the guard counts and uncounts. Test: a_connection_accepted_during_the_shutdown_does_not_delay_the_exit_after_it_has_closed fails before (3.61 s) and passes now (whole test 0.72 s).

--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -149,9 +149,6 @@
             }
         }
     });
-    // The guard has counted the connection already: during a shutdown it counts twice, which
-    // `docs/ROADMAP.md` lists.
-    shared.update_shutdown(|shutdown| shutdown.connection_opened());
     shared.share_sockets();
 }
 
