Keep the violations that a process trial recorded itself

Seen: a trial whose process could not be started, or whose successor was not ready in time, could pass. Cause: FleetModel::finish replaced the report's violations by those of the rule checker. Fix: the checker's are added to them. Test: violations_that_the_trial_recorded_itself_are_reported_with_those_of_the_checker fails before (one of two planted violations reported) and passes now.

--- a/testkit/src/fleet/fleet_model.rs
+++ b/testkit/src/fleet/fleet_model.rs
@@ -205,7 +205,8 @@
         self.report.starts.len() - 1
     }
 
-    /// Ends the trial: checks for requests without an answer, and completes the report.
+    /// Ends the trial: checks for requests without an answer, and completes the report. The violations that the
+    /// trial recorded itself stay in it, before those of the checker.
     pub fn finish(&mut self, end: f64) -> Report {
         self.checker.finish(end);
         let mut report = std::mem::take(&mut self.report);
@@ -214,7 +215,10 @@
         report.longest_poll_s = self.site.discovery.longest_wait_s;
         report.max_overload_ratio = self.site.max_overload_ratio();
         report.overload_crashes = self.site.overload_crashes;
-        report.violations = self.checker.descriptions(START_S);
+        report.violations.extend(self.checker.descriptions(START_S));
         report
     }
 }
+
+#[cfg(test)]
+mod tests;
