End the process that an upgrade found at its start, and call an orderly exit Ended

Seen: with an upgrade and a kill at the same time a trial reported "Crashed" for a process that had ended with status 0, and the proxy had no process for the rest of the trial. Cause: the upgrade sent SIGTERM to the oldest process of its proxy, which after a kill was the restarted one. Fix: the process is named by its number. An exit that nobody asked for stays a violation, described by its status. Test: an_exit_is_described_by_its_status (new function). The crossing of an upgrade and a kill has no test of its own.

--- a/testkit/src/fleet/process_trial/lifecycle.rs
+++ b/testkit/src/fleet/process_trial/lifecycle.rs
@@ -99,9 +99,11 @@
 pub async fn upgrade(shared: SharedTrial, proxy: usize) {
     let clock = shared.clock();
     let started_at = clock.now();
-    if shared.with(|trial| trial.processes.count(proxy) != 1) {
-        return;
-    }
+    let predecessor = shared.with(|trial| {
+        let is_alone = trial.processes.count(proxy) == 1;
+        trial.processes.start_index(proxy).filter(|_| is_alone)
+    });
+    let Some(predecessor) = predecessor else { return };
     start(&shared, proxy).await;
     let Some(address) = shared.with(|trial| trial.processes.successor_admin_address(proxy)) else { return };
     while !admin::is_ready(address).await {
@@ -113,9 +115,9 @@
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
     let signalled_at = clock.now();
-    shared.with(|trial| trial.processes.shut_down_oldest(proxy));
+    shared.with(|trial| trial.processes.shut_down_process(proxy, predecessor));
     while clock.now() < signalled_at + SHUTDOWN_TIMEOUT_S {
-        if shared.with(|trial| trial.processes.oldest_has_exited(proxy)) {
+        if shared.with(|trial| trial.processes.has_exited(proxy, predecessor)) {
             break;
         }
         tokio::time::sleep(CHECK_INTERVAL).await;
--- a/testkit/src/fleet/process_trial/process_table.rs
+++ b/testkit/src/fleet/process_trial/process_table.rs
@@ -8,7 +8,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::ops::Range;
 use std::path::PathBuf;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 
 use rustix::process::{kill_process, Pid, Signal};
 use tokio::task::spawn_blocking;
@@ -238,16 +238,19 @@
         self.proxies[proxy].send(Signal::TERM);
     }
 
-    /// Has the oldest process of a proxy shut down gracefully.
-    pub fn shut_down_oldest(&self, proxy: usize) {
-        if let Some(oldest) = self.proxies[proxy].processes.first() {
-            oldest.child.send(Signal::TERM);
+    /// Has one process of a proxy shut down gracefully, unless it was killed meanwhile.
+    pub fn shut_down_process(&self, proxy: usize, start_index: usize) {
+        let mut processes = self.proxies[proxy].processes.iter();
+        if let Some(process) = processes.find(|process| process.start_index == start_index) {
+            process.child.send(Signal::TERM);
         }
     }
 
-    /// Whether the oldest process of a proxy has exited.
-    pub fn oldest_has_exited(&mut self, proxy: usize) -> bool {
-        self.proxies[proxy].processes.first_mut().is_none_or(|oldest| oldest.child.has_exited())
+    /// Whether one process of a proxy has exited or was killed.
+    pub fn has_exited(&mut self, proxy: usize, start_index: usize) -> bool {
+        let mut processes = self.proxies[proxy].processes.iter_mut();
+        let process = processes.find(|process| process.start_index == start_index);
+        process.is_none_or(|process| process.child.has_exited())
     }
 
     /// Kills a proxy's processes.
@@ -267,8 +270,7 @@
         for (number, proxy) in self.proxies.iter_mut().enumerate() {
             for process in &mut proxy.processes {
                 if let Ok(Some(status)) = process.child.0.try_wait() {
-                    unexpected_exits
-                        .push(format!("Crashed: a process of proxy {number} ended with {status}"));
+                    unexpected_exits.push(describe_exit(number, status));
                 }
             }
             proxy.kill_all_but(0);
@@ -276,3 +278,12 @@
         unexpected_exits
     }
 }
+
+/// Describes a process that has exited although nobody ended it.
+fn describe_exit(proxy: usize, status: ExitStatus) -> String {
+    let kind = if status.success() { "Ended" } else { "Crashed" };
+    format!("{kind}: a process of proxy {proxy} ended with {status}")
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/testkit/src/fleet/process_trial/process_table/tests.rs
@@ -0,0 +1,16 @@
+//! Tests of `process_table`.
+
+use std::os::unix::process::ExitStatusExt;
+
+use super::*;
+
+/// Guards against a process that ended in order and is reported as crashed.
+#[test]
+fn an_exit_is_described_by_its_status() {
+    let in_order = describe_exit(3, ExitStatus::from_raw(0));
+    assert!(in_order.starts_with("Ended: a process of proxy 3"), "{in_order}");
+    let failed = describe_exit(3, ExitStatus::from_raw(1 << 8));
+    assert!(failed.starts_with("Crashed: a process of proxy 3"), "{failed}");
+    let killed = describe_exit(3, ExitStatus::from_raw(9));
+    assert!(killed.starts_with("Crashed: a process of proxy 3"), "{killed}");
+}
