Shut test clients' sockets down before they are dropped

Seen: beside a load two race tests failed in some runs: the proxy took a client that the test had dropped to be there. Cause: while another test starts a process, the child holds a copy of the dropped socket until its exec. Evidence: a_dropped_connection_ends_while_another_descriptor_of_it_is_open fails with a plain stream and passes with the new one. Fix: ClosingStream shuts the socket down; the socket tests' client, the test kit's client and the streams of the process trial use it or do the same.

--- a/testkit/src/client.rs
+++ b/testkit/src/client.rs
@@ -8,6 +8,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
 
+use crate::closing_stream::ClosingStream;
 use crate::wire::{query, read_message, startup};
 
 /// Time within which the proxy must answer a startup packet.
@@ -76,7 +77,7 @@
 /// A connection to the proxy, opened when it is needed.
 pub struct Client {
     proxy: SocketAddr,
-    stream: Option<TcpStream>,
+    stream: Option<ClosingStream>,
 }
 
 impl Client {
@@ -161,11 +162,11 @@
 
     fn connect(&mut self) -> io::Result<&mut TcpStream> {
         if self.stream.is_none() {
-            let mut stream = TcpStream::connect(self.proxy)?;
+            let mut stream = ClosingStream::connect(self.proxy)?;
             stream.set_nodelay(true)?;
             stream.set_read_timeout(Some(STARTUP_TIMEOUT))?;
             stream.write_all(&startup())?;
-            while read_message(&mut stream).ok_or(io::ErrorKind::UnexpectedEof)?.0 != b'Z' {}
+            while read_message(&mut *stream).ok_or(io::ErrorKind::UnexpectedEof)?.0 != b'Z' {}
             self.stream = Some(stream);
         }
         Ok(self.stream.as_mut().expect("it was just opened"))
--- a/testkit/src/fleet/process_trial/message_stream.rs
+++ b/testkit/src/fleet/process_trial/message_stream.rs
@@ -4,8 +4,10 @@
 //! resumed. Messages have a maximum length.
 
 use std::io;
+use std::net::Shutdown;
 use std::time::Duration;
 
+use socket2::SockRef;
 use tokio::net::TcpStream;
 
 use crate::wire::message;
@@ -13,12 +15,20 @@
 /// Maximum length of a message or line.
 const MAX_MESSAGE_BYTES: usize = 64 * 1024;
 
-/// A connection and its read buffer.
+/// A connection and its read buffer. It ends for its peer when it is dropped, also while a process that the
+/// trial is starting holds a copy of its descriptor.
 pub struct MessageStream {
     stream: TcpStream,
     buffer: Vec<u8>,
 }
 
+impl Drop for MessageStream {
+    fn drop(&mut self) {
+        // The peer may have closed it already.
+        let _ = SockRef::from(&self.stream).shutdown(Shutdown::Both);
+    }
+}
+
 impl MessageStream {
     /// A stream with an empty buffer.
     pub fn new(stream: TcpStream) -> io::Result<Self> {
--- a/testkit/src/lib.rs
+++ b/testkit/src/lib.rs
@@ -4,6 +4,7 @@
 #![forbid(unsafe_code)]
 
 pub mod client;
+pub mod closing_stream;
 pub mod discovery_server;
 pub mod failover_trial;
 pub mod fleet;
--- a/tests/support/client.rs
+++ b/tests/support/client.rs
@@ -1,8 +1,8 @@
 //! A client that speaks to the proxy byte by byte.
 
 use std::io::Write;
-use std::net::TcpStream;
 
+use pipittack_testkit::closing_stream::ClosingStream;
 use pipittack_testkit::wire::{query, read_message, startup};
 
 use super::proxy::Proxy;
@@ -10,7 +10,7 @@
 
 /// A connection to the proxy.
 pub struct Client {
-    pub stream: TcpStream,
+    pub stream: ClosingStream,
 }
 
 /// The messages of a response, each with its kind and its body.
@@ -19,7 +19,7 @@
 impl Client {
     /// Opens a connection and sends nothing.
     pub fn open(proxy: &Proxy) -> Self {
-        let stream = TcpStream::connect(proxy.address).expect("it listens");
+        let stream = ClosingStream::connect(proxy.address).expect("it listens");
         stream.set_read_timeout(Some(TEST_TIMEOUT)).expect("a socket");
         Self { stream }
     }
@@ -38,7 +38,7 @@
     /// Messages up to ReadyForQuery or the end of the connection.
     pub fn read_response(&mut self) -> Response {
         let mut messages = Vec::new();
-        while let Some(message) = read_message(&mut self.stream) {
+        while let Some(message) = read_message(&mut *self.stream) {
             messages.push(message);
             if messages.last().is_some_and(|m| m.0 == b'Z') {
                 break;
