--- a/core/src/api/settings.rs
+++ b/core/src/api/settings.rs
@@ -73,7 +73,8 @@
     pub allow_gossip: bool,
     /// [`Action::HealthCheck`](super::Action::HealthCheck) is permitted.
     pub allow_health_checks: bool,
-    /// Two attempts of one request may be in flight together.
+    /// Two attempts of one request may be in flight together. Has no effect: the engine sends no hedged
+    /// requests.
     pub allow_hedging: bool,
     /// Rejected clients are told when to retry.
     pub send_retry_after: bool,
