Put the end of an attempt and a received message below the modules that use them

Two circles of files are gone: routing/completion and routing/outlier_detection shared Completion, client/connection and client/inbound shared ReceivedMessage. REJECTED_STARTUP_TIMEOUT bounded two things and is two constants of 0.1 s now.

--- a/core/src/routing/completion.rs
+++ b/core/src/routing/completion.rs
@@ -4,13 +4,11 @@
 //! says in which order they learn of it. The usual response time that an attempt is compared with is the one
 //! before the attempt itself is counted.
 
-use crate::api::{
-    Action, AttemptEnded, AttemptId, AttemptNumber, ClassId, Consistency, LoadReport, Outcome, RequestId,
-    ServerId, ServerStatus,
-};
+use crate::api::{Action, AttemptEnded, AttemptId, Consistency, LoadReport, Outcome, ServerStatus};
 use crate::primary_read_admission::PrimaryAttempt;
 use crate::time::secs;
 
+use super::attempt_result::Completion;
 use super::cluster::ServerResponse;
 use super::fleet::is_large_fleet;
 use super::gossip::{GossipKind, GossipMessage, Timeliness};
@@ -32,53 +30,6 @@
 /// Least mean response time in seconds that a gossip message is computed with.
 const MIN_GOSSIP_USUAL_SECS: f64 = 1e-3;
 
-/// The end of an attempt.
-pub(super) struct Completion {
-    /// Its request.
-    pub request: RequestId,
-    /// Its number.
-    pub attempt: AttemptNumber,
-    /// Its server.
-    pub server: ServerId,
-    /// Its request's class.
-    pub class: ClassId,
-    /// The consistency that the class needs.
-    pub consistency: Consistency,
-    /// How it ended.
-    pub outcome: Outcome,
-    /// When it was sent, in seconds on the engine's clock.
-    pub sent_at: f64,
-    /// Seconds that it took, without those for which this process was paused.
-    pub took_secs: f64,
-    /// Mean response time of the class before this attempt, in seconds.
-    pub usual_secs: f64,
-    /// Who caused the outcome.
-    pub fault_owner: FaultOwner,
-    /// The role that the response shows.
-    pub is_primary: Option<bool>,
-}
-
-impl Completion {
-    fn is_success(&self) -> bool {
-        self.outcome == Outcome::Success
-    }
-
-    fn is_write(&self) -> bool {
-        self.consistency == Consistency::Write
-    }
-
-    /// Whether it shows how long the server takes. A timeout does so if it is longer than usual.
-    fn shows_response_time(&self) -> bool {
-        self.is_success() || (self.outcome == Outcome::Timeout && self.took_secs > self.usual_secs)
-    }
-
-    /// Whether its outcome counts in its server's error share.
-    fn counts_in_error_share(&self) -> bool {
-        let is_neutral = matches!(self.outcome, Outcome::Cancelled | Outcome::NotSent | Outcome::Misdirected);
-        self.fault_owner == FaultOwner::Server && !is_neutral
-    }
-}
-
 impl RoutingEngine {
     /// An attempt ended.
     pub(super) fn attempt_ended(&mut self, ended: AttemptEnded, actions: &mut Vec<Action>) {
--- a/core/src/routing/mod.rs
+++ b/core/src/routing/mod.rs
@@ -12,6 +12,7 @@
 //! and applied afterwards. Times are `f64` seconds on the engine's clock.
 
 mod arrival;
+mod attempt_result;
 mod cluster;
 mod completion;
 mod dispatch;
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -14,18 +14,18 @@
 use tokio::time::{sleep_until, timeout, Instant};
 
 use super::connection_table::{ConnectionNumber, IdleReason, NoRequestGuard};
-use super::inbound::Inbound;
+use super::inbound::{Inbound, ReceivedMessage};
 use super::service_phase::ServicePhase;
 use super::shared::Shared;
-use crate::net::buffers::{self, write_all, BufferChain, BufferReservation};
+use crate::net::buffers::{self, write_all, BufferReservation};
 use crate::net::hot_restart::frame::Successor;
 use crate::net::postgres::{self, Severity};
 
 /// Time within which a new client must have sent its startup packet, and any client the rest of a message
 /// that it has begun. A client that can't be served is owed an end 3 s after it connected.
 pub(super) const MESSAGE_TIMEOUT: Duration = Duration::from_millis(2500);
-/// Time in which a client that is to be rejected must say who it is, to get an error.
-pub(super) const REJECTED_STARTUP_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time from the accept in which a client must send its first request where too many have sent none.
+const HURRIED_FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time in which a message of any length must be complete.
 const LONG_MESSAGE_TIMEOUT: Duration = Duration::from_secs(20);
 /// The longest message that must be complete within [`MESSAGE_TIMEOUT`]; a longer one must make progress in
@@ -71,12 +71,6 @@
     TimedOut,
 }
 
-/// A complete message, with the time at which its last byte was read.
-pub(super) struct ReceivedMessage {
-    pub bytes: BufferChain,
-    pub received_at: Instant,
-}
-
 /// A connection's entry in the table, as long as its task runs. It counts as served until it ends; then its
 /// client still has to see the end.
 struct ConnectionGuard {
@@ -219,7 +213,7 @@
         let state = self.idle_state();
         let hurries = self.must_hurry && state == IdleState::NoRequestYet;
         let hurry_deadline = hurries
-            .then(|| self.shared.driver.clock().to_instant(self.accepted_at) + REJECTED_STARTUP_TIMEOUT);
+            .then(|| self.shared.driver.clock().to_instant(self.accepted_at) + HURRIED_FIRST_REQUEST_TIMEOUT);
         let deadline = deadline.into_iter().chain(hurry_deadline).min();
         match self.wait_for_bytes(state, deadline).await? {
             Wait::Read(count) => Ok(count > 0),
--- a/src/net/client/inbound.rs
+++ b/src/net/client/inbound.rs
@@ -14,7 +14,6 @@
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Instant};
 
-use super::connection::ReceivedMessage;
 use crate::net::buffers::{self, BufferChain, BufferPool};
 use crate::net::driver::ClientHandle;
 
@@ -33,6 +32,12 @@
     read_at: Instant,
 }
 
+/// A complete message, with the time at which its last byte was read.
+pub(super) struct ReceivedMessage {
+    pub bytes: BufferChain,
+    pub received_at: Instant,
+}
+
 /// The receiving half of a client's connection.
 pub(super) struct Inbound {
     stream: Rc<TcpStream>,
--- a/src/net/client/query.rs
+++ b/src/net/client/query.rs
@@ -6,7 +6,8 @@
 use tokio::time::Instant;
 
 use super::class_table::NamedClass;
-use super::connection::{Connection, Flow, ReceivedMessage};
+use super::connection::{Connection, Flow};
+use super::inbound::ReceivedMessage;
 use super::long_statement::AbridgedText;
 use super::request_ids::IdStatus;
 use super::service_phase::ServicePhase;
--- a/src/net/client/startup.rs
+++ b/src/net/client/startup.rs
@@ -1,14 +1,17 @@
 //! The startup of a client connection.
 
 use std::io;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
-use super::connection::{Connection, Flow, MESSAGE_TIMEOUT, REJECTED_STARTUP_TIMEOUT, TOO_MANY_CLIENTS};
+use super::connection::{Connection, Flow, MESSAGE_TIMEOUT, TOO_MANY_CLIENTS};
 use super::connection_table::IdleReason;
 use super::service_phase::ServicePhase;
 use crate::net::postgres::{self, Startup};
 
+/// Time in which a client that is to be rejected must say who it is, to get an error.
+const REJECTED_STARTUP_TIMEOUT: Duration = Duration::from_millis(100);
 /// Bytes of the length field of a startup packet.
 const LENGTH_BYTES: usize = 4;
 /// The shortest startup packet: its length and the protocol version.
