Log each endpoint list that arrives: kind, revision, entries by state, additions, removals

Change: two debug lines of discovery, one for each list or change and one for the start of each watch (registry.rs, list_log.rs).

--- a/src/net/discovery/client.rs
+++ b/src/net/discovery/client.rs
@@ -109,6 +109,7 @@
     registry: &SharedEndpointRegistry,
 ) -> Result<(), DiscoveryError> {
     let revision = registry.borrow().revision();
+    log::debug!("endpoint list watch started: from_revision={revision}");
     let path = format!("/v1/endpoints?watch=1&from={revision}");
     let mut response = HttpResponse::get(service, &path).await?;
     let mut is_first = true;
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -6,6 +6,7 @@
 mod client;
 mod error;
 mod http;
+mod list_log;
 mod registry;
 mod response;
 
--- a/src/net/discovery/registry.rs
+++ b/src/net/discovery/registry.rs
@@ -10,6 +10,7 @@
 use std::rc::Rc;
 
 use super::error::DiscoveryError;
+use super::list_log::{ListSource, StateCounts};
 use crate::api::{Endpoint, EndpointState, EndpointUpdate, GroupId, ServerId, ZoneId};
 use crate::endpoint_list::{EndpointList, ListedEndpoint};
 use crate::net::driver::Clock;
@@ -78,7 +79,8 @@
         }
         self.is_confirmed = true;
         let is_complete = list.complete;
-        let (entries, addresses) = self.merge_list(list);
+        let source = if is_complete { ListSource::Full } else { ListSource::Changes };
+        let (entries, addresses) = self.merge_list(list, source);
         let update =
             if is_complete { EndpointUpdate::Full(entries) } else { EndpointUpdate::Changes(entries) };
         Ok(RegistryUpdate { update, addresses })
@@ -86,19 +88,24 @@
 
     /// Applies a list from the configuration or from the predecessor, which the service has not confirmed.
     pub fn apply_cached(&mut self, list: EndpointList) -> RegistryUpdate {
-        let (entries, addresses) = self.merge_list(list);
+        let (entries, addresses) = self.merge_list(list, ListSource::Cached);
         RegistryUpdate { update: EndpointUpdate::Cached(entries), addresses }
     }
 
     /// Merges a list into the current list. Returns the entries of the given list and their addresses.
-    fn merge_list(&mut self, list: EndpointList) -> (Vec<Endpoint>, Vec<(ServerId, SocketAddr)>) {
-        self.revision = list.revision;
+    fn merge_list(
+        &mut self,
+        list: EndpointList,
+        source: ListSource,
+    ) -> (Vec<Endpoint>, Vec<(ServerId, SocketAddr)>) {
+        let previous_revision = std::mem::replace(&mut self.revision, list.revision);
         for id in self.removed.drain(..) {
             self.names_by_id.remove(&id);
         }
         if list.complete {
             self.endpoints_by_name.clear();
         }
+        let known_before = self.names_by_id.len();
         let mut addresses = Vec::new();
         let mut entries = Vec::new();
         for listed in list.endpoints {
@@ -106,7 +113,16 @@
             addresses.push((server, listed.address));
             entries.push(self.convert_endpoint(server, &listed));
         }
+        let added = self.names_by_id.len() - known_before;
         self.record_removed(&entries, list.complete);
+        let removed = self.removed.len();
+        log::debug!(
+            "endpoint list received: kind={source} revision={} previous_revision={previous_revision} {} \
+             added={added} removed={removed} total={}",
+            self.revision,
+            StateCounts::of(&entries),
+            self.endpoints_by_name.len(),
+        );
         (entries, addresses)
     }
 
