Open the first watch of a proxy with a cached list within 4.8 s of its start

Cause: DiscoverySchedule spread the first call of a proxy that has a list over 0.8 of AskEveryMs (8 s), though a change counts as known 6 s after it was made, also one from before the start. Change: the window is at most 0.8 of the 6 s as well. Test: a_restarted_instance_calls_before_the_notification_deadline fails before.

--- a/core/src/discovery_schedule.rs
+++ b/core/src/discovery_schedule.rs
@@ -12,9 +12,9 @@
 //! communicate (Chiu and Jain 1989), combined with slotted random access. A call that fails at once gives no
 //! information about the queue, so the rate stays as it is.
 //!
-//! An instance that has an endpoint list must receive its changes in time, so the instance uses
-//! a shorter window until a call fails after a wait in the queue. An instance without a list
-//! always uses the full window.
+//! An instance that has an endpoint list must receive its changes in time, also those from shortly before its
+//! start, so the instance uses a shorter window until a call fails after a wait in the queue. An instance
+//! without a list always uses the full window.
 //!
 //! This module owns the times of the calls and the assumed rate. Times are seconds on the engine's clock.
 
@@ -40,7 +40,9 @@
 const MIN_QUEUED_SECS: f64 = 0.5;
 /// Upper bound of the window in a fleet of any size, in seconds.
 const MAX_WINDOW_SECS: f64 = 300.0;
-/// Upper bound of the window of an instance that has a list, as a share of the poll interval.
+/// Upper bound of the window of an instance that has a list, as a share of the poll interval and of the
+/// notification deadline. The rest of that time is for the call, and for changes of the list from just before
+/// the start of the instance.
 const MAX_WINDOW_SHARE: f64 = 0.8;
 /// Lower bound of the random factor of the time until a retry. The upper bound is higher by 1.
 const MIN_JITTER: f64 = 0.5;
@@ -48,8 +50,8 @@
 const INITIAL_BACKOFF_SECS: f64 = 0.5;
 /// Upper bound of the backoff, as a share of the poll interval.
 const MAX_BACKOFF_SHARE: f64 = 0.25;
-/// Time within which an instance must receive an update after the discovery service has recovered from an
-/// outage, in seconds.
+/// Time within which an instance must receive a change of the list, or an update after the discovery service
+/// has recovered from an outage, in seconds.
 const NOTIFICATION_DEADLINE_SECS: f64 = 6.0;
 /// Upper bound of the backoff, as a share of the notification deadline. Two calls with backoff and jitter
 /// must fit into the deadline, because the first call may fail just as the service recovers.
@@ -71,6 +73,9 @@
     failures: i32,
     /// Whether the last window was too short for the calls of all instances.
     is_window_shortened: bool,
+    /// Time until which the service is assumed to work on the calls of the last shortened window, including
+    /// those that have timed out. 0 before the first such window.
+    backlog_ends_at: f64,
     /// Rate that the service is assumed to sustain, in calls a second of all instances.
     rate: f64,
 }
@@ -78,6 +83,8 @@
 /// Time window over which the calls of all instances are spread.
 struct CallWindow {
     secs: f64,
+    /// Time that the service is assumed to need for the calls of all instances.
+    needed_secs: f64,
     /// Whether the window is too short for the calls of all instances.
     is_shortened: bool,
 }
@@ -91,6 +98,7 @@
             next_call_at: None,
             failures: 0,
             is_window_shortened: false,
+            backlog_ends_at: 0.0,
             rate: INITIAL_RATE,
         }
     }
@@ -116,7 +124,7 @@
 
     /// Records that a call failed or that the subscription ended, and schedules the next call. `random`
     /// returns random numbers from 0 to 1.
-    pub fn call_failed(&mut self, now: f64, settings: &Settings, mut random: impl FnMut() -> f64) {
+    pub fn call_failed(&mut self, now: f64, settings: &Settings, random: impl FnOnce() -> f64) {
         let call_started_at = self.call_started_at.take();
         let was_queued = call_started_at.is_some_and(|started_at| now - started_at >= MIN_QUEUED_SECS);
         // With a shortened window, calls arrive faster than the service answers them: a failure is expected
@@ -127,11 +135,22 @@
         let window = self.window(settings, was_queued);
         // Divides by the highest jitter, so that the call always falls within the shortened window.
         let interval_secs = if window.is_shortened { window.secs / (MIN_JITTER + 1.0) } else { window.secs };
-        let delay_secs = self.backoff_secs(settings).max(interval_secs);
-        self.is_window_shortened = window.is_shortened;
+        let jitter = random();
+        let delay_secs = self.backoff_secs(settings).max(interval_secs) * (MIN_JITTER + jitter);
+        // A call that reaches the service before it has worked off the backlog would fail again.
+        let backlog_secs = if was_queued { (self.backlog_ends_at - now).max(0.0) } else { 0.0 };
+        self.record_window(&window, now);
         self.is_subscribed = false;
         self.failures = (self.failures + 1).min(MAX_FAILURES);
-        self.next_call_at = Some(now + delay_secs * (MIN_JITTER + random()));
+        self.next_call_at = Some(now + delay_secs.max(backlog_secs + interval_secs * jitter));
+    }
+
+    /// Records a window that begins at `now`.
+    fn record_window(&mut self, window: &CallWindow, now: f64) {
+        self.is_window_shortened = window.is_shortened;
+        if window.is_shortened {
+            self.backlog_ends_at = now + window.needed_secs;
+        }
     }
 
     fn backoff_secs(&self, settings: &Settings) -> f64 {
@@ -150,7 +169,7 @@
         if self.next_call_at.is_none() {
             let window = self.window(settings, false);
             self.next_call_at = Some(now + window.secs * random());
-            self.is_window_shortened = window.is_shortened;
+            self.record_window(&window, now);
         }
         let is_due = self.next_call_at.is_some_and(|next_call_at| now >= next_call_at);
         if is_due {
@@ -166,9 +185,9 @@
     fn window(&self, settings: &Settings, was_queued: bool) -> CallWindow {
         let spread_calls = (f64::from(settings.instance_count) - MAX_BURST_CALLS).max(0.0);
         let needed_secs = (spread_calls / self.rate).min(MAX_WINDOW_SECS);
-        let max_secs = MAX_WINDOW_SHARE * secs(settings.rules.poll_interval);
+        let max_secs = MAX_WINDOW_SHARE * secs(settings.rules.poll_interval).min(NOTIFICATION_DEADLINE_SECS);
         let is_shortened = self.has_list && !was_queued && needed_secs > max_secs;
-        CallWindow { secs: if is_shortened { max_secs } else { needed_secs }, is_shortened }
+        CallWindow { secs: if is_shortened { max_secs } else { needed_secs }, needed_secs, is_shortened }
     }
 }
 
--- a/core/src/discovery_schedule/tests.rs
+++ b/core/src/discovery_schedule/tests.rs
@@ -180,3 +180,20 @@
         );
     }
 }
+
+/// Guards against a restarted instance whose first call comes after the notification deadline. A removal from
+/// just before its start then counts as known while the instance still sends requests to the removed server.
+#[test]
+fn a_restarted_instance_calls_before_the_notification_deadline() {
+    for (instance_count, poll_interval_ms) in [(306, 10_000), (900, 10_000), (306, 60_000)] {
+        let mut settings = settings(instance_count);
+        settings.rules.poll_interval = Duration::from_millis(poll_interval_ms);
+        let mut schedule = DiscoverySchedule::default();
+        schedule.list_cached();
+        assert!(!schedule.is_call_due(0.0, &settings, || 1.0));
+        assert!(
+            schedule.is_call_due(0.8 * NOTIFICATION_DEADLINE_SECS, &settings, || 1.0),
+            "{instance_count} instances, poll interval of {poll_interval_ms} ms"
+        );
+    }
+}
