Never send a write again in the test kit's client after its connection has ended

The failover trial's client sent a write again on a new connection whenever a reused one ended in order before the first byte of a response. A proxy that forwards a write and closes, or a process that is killed, would have been hidden by that, or blamed for a second execution. Change: an idle connection that the proxy has closed is not used, and only reads are sent again.

--- a/testkit/src/client.rs
+++ b/testkit/src/client.rs
@@ -1,8 +1,9 @@
 //! Blocking client of the proxy on PostgreSQL's wire protocol, with one connection and one request at a time.
 //!
 //! Each response is classified by its meaning for the request: executed, rejected before execution, or
-//! outcome unknown. The client resends a request only if the proxy closed a reused connection before the
-//! first byte of a response.
+//! outcome unknown. The client does not use a connection that the proxy has closed. It resends a read if the
+//! proxy closed a reused connection before the first byte of a response. It never resends a write, because the
+//! proxy may have read and forwarded it.
 
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -106,7 +107,7 @@
         outcome_on_error: Response,
     ) -> RequestRecord {
         let sent_at = Instant::now();
-        let response = match self.exchange_with_reconnect(&request.statement(), timeout) {
+        let response = match self.exchange_with_reconnect(request, timeout) {
             Ok(response) => response,
             Err(_) => {
                 self.stream = None;
@@ -122,14 +123,16 @@
         }
     }
 
-    /// Sends a statement and reads up to ReadyForQuery. Reconnects and resends if the proxy closed the
+    /// Sends a request and reads up to ReadyForQuery. Reconnects and resends a read if the proxy closed the
     /// connection between requests.
-    fn exchange_with_reconnect(&mut self, statement: &str, timeout: Duration) -> io::Result<Response> {
+    fn exchange_with_reconnect(&mut self, request: &Request<'_>, timeout: Duration) -> io::Result<Response> {
+        let statement = request.statement();
+        self.stream = self.stream.take().filter(is_reusable);
         let was_connected = self.stream.is_some();
-        match self.exchange(statement, timeout) {
-            Err(e) if was_connected && e.kind() == io::ErrorKind::UnexpectedEof => {
+        match self.exchange(&statement, timeout) {
+            Err(e) if was_connected && !request.is_write && e.kind() == io::ErrorKind::UnexpectedEof => {
                 self.stream = None;
-                self.exchange(statement, timeout)
+                self.exchange(&statement, timeout)
             }
             result => result,
         }
@@ -176,6 +179,15 @@
     }
 }
 
+/// Returns whether the peer has neither closed an idle connection nor sent anything on it.
+fn is_reusable(stream: &ClosingStream) -> bool {
+    let peeked = stream
+        .set_nonblocking(true)
+        .and_then(|()| stream.peek(&mut [0]))
+        .is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
+    peeked && stream.set_nonblocking(false).is_ok()
+}
+
 /// Classifies an ErrorResponse as a rejection or another error. The detail of a rejection is the time in
 /// milliseconds after which the client may retry.
 fn classify_error(body: &[u8]) -> Response {
