Report a write that reaches the data server twice in the test of 200 restarts

Cause: a request whose connection ends before its answer is sent again and only counted, so a proxy that forwards a write and then closes the connection would pass. Change: the data server's statements are searched for writes that came twice, besides all checks of before.

--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -1,6 +1,7 @@
 //! Two hundred planned restarts under constant load. Every request must get its final response. A request
 //! that crosses the close of its connection is sent again on a new connection.
 
+use std::collections::HashSet;
 use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::Path;
@@ -104,6 +105,16 @@
     }
 }
 
+/// Returns the writes that a server has received more than once. A write that crosses the close of its
+/// connection is sent again, so the proxy must not have forwarded it.
+fn writes_received_twice(server: &ScriptedServer) -> Vec<String> {
+    let statements = server.statements();
+    let writes = statements.iter().filter(|statement| statement.starts_with("INSERT"));
+    let ids = writes.filter_map(|statement| statement.split_once("id=")?.1.split(',').next());
+    let mut received = HashSet::new();
+    ids.filter(|id| !received.insert(*id)).map(str::to_owned).collect()
+}
+
 /// Runs one process under load until it has been terminated and has exited. `run` numbers the runs of all
 /// processes, so that request ids are unique.
 fn run_under_load(process: &mut ProxyProcess, run: u64, counts: &RequestCounts) {
@@ -167,4 +178,5 @@
     let count = |counter: &AtomicU64| counter.load(Relaxed);
     assert!(count(&counts.crossed_close) > 0 && count(&counts.answered) > 1000, "{counts:?}");
     assert_eq!(count(&counts.lost), 0, "{counts:?}");
+    assert_eq!(writes_received_twice(&server), Vec::<String>::new(), "{counts:?}");
 }
