Keep the trial's clients from sending writes again, and the checker from forgetting attempts

Cause: the trial, not the proxy. Its client sent a statement again after any end of an idle connection, though PROTOCOL allows that for a close "between requests" that "crosses a request that the proxy has not read", which a client cannot see. The checker replaced its state of the request then, and the kill of a restart hit the successor of an upgrade too, whose connections the kernel ended in order. Evidence: violations print the events of their request, with the process of each attempt. Change: the client looks before it uses an idle connection, and sends again only what may run twice. The checker keeps what it knows of an id, and reports a second acceptance after a possible execution, an end without an answer after an attempt or 0.15 s after the statement, and an attempt after such an end. A restart kills what it signalled. Late answers name the longest pause of the trial's own thread. Tests: planted faults over sockets (exchange/tests.rs) and in rule_checker/tests.rs.

--- a/testkit/src/bin/fleet-trial.rs
+++ b/testkit/src/bin/fleet-trial.rs
@@ -146,9 +146,10 @@
     let seconds: Vec<_> =
         report.seconds.iter().map(|weight| format!("{:.0}", percent(weight.served_share()))).collect();
     println!("  by second              {}", seconds.join(" "));
-    let Report { tries, rejected, failed, unreachable, .. } = report;
+    let Report { tries, rejected, failed, unreachable, closed_unanswered, .. } = report;
     println!(
-        "  tries                  {tries}: {rejected} rejected, {failed} failed, {unreachable} unreachable"
+        "  tries                  {tries}: {rejected} rejected, {failed} failed, {unreachable} unreachable, \
+         {closed_unanswered} of them closed after the statement was written"
     );
 }
 
--- a/testkit/src/fleet/process_trial/clients.rs
+++ b/testkit/src/fleet/process_trial/clients.rs
@@ -113,6 +113,9 @@
             }
             Err(error) => {
                 trial.fleet.report.unreachable += 1;
+                if error == ExchangeError::ClosedBeforeResponse {
+                    trial.fleet.report.closed_unanswered += 1;
+                }
                 if error == ExchangeError::Unreachable {
                     record_unreachable_proxy(shared, trial, request.proxy, now);
                 }
@@ -127,7 +130,7 @@
 }
 
 /// Creates the statement for the next try of a request.
-fn new_statement(trial: &mut TrialState, request: &ClientRequest) -> Statement {
+pub(super) fn new_statement(trial: &mut TrialState, request: &ClientRequest) -> Statement {
     trial.fleet.report.tries += 1;
     trial.last_request_id += 1;
     let id = trial.last_request_id;
@@ -149,7 +152,7 @@
 }
 
 /// Passes the final answer of a try to the rule checker.
-fn check_answer(
+pub(super) fn check_answer(
     trial: &mut TrialState,
     request: &ClientRequest,
     statement: &Statement,
@@ -169,6 +172,7 @@
     let answer = match result {
         Ok(ClientResponse::Rejected { .. }) => FinalAnswer::Rejected,
         Ok(_) => FinalAnswer::Other,
+        // A connection that ended without a response has been recorded; the end of the trial reports the rest.
         Err(_) => return,
     };
     trial.fleet.checker.request_answered(statement.id, answer, now);
--- a/testkit/src/fleet/process_trial/exchange.rs
+++ b/testkit/src/fleet/process_trial/exchange.rs
@@ -1,16 +1,19 @@
 //! Sends a client's statement to a proxy, and reads the response.
 //!
-//! A proxy may close an idle connection while the client sends a statement on it. The client then sends the
-//! statement once more, on a new connection.
+//! A proxy may close an idle connection while the client sends a statement on it. The client cannot tell
+//! whether the proxy had read the statement, or whether the process was killed. It therefore sends the
+//! statement once more, on a new connection, only if the request may be executed twice. Otherwise the outcome
+//! of the try is unknown. The rule checker decides whether the proxy was allowed to close the connection.
 
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use pipittack_core::api::Idempotency;
 use tokio::net::TcpStream;
 
 use super::super::fleet_model::START_S;
-use super::super::rule_checker::AcceptedRequest;
+use super::super::rule_checker::{AcceptedRequest, ConnectionEnd, UnansweredClose};
 use super::super::workload::ClientRequest;
 use super::message_stream::{error_field, MessageStream};
 use super::state::SharedTrial;
@@ -46,9 +49,11 @@
 pub enum ExchangeError {
     /// The client could not open a connection.
     Unreachable,
-    /// The proxy closed the connection before the first byte of a response.
+    /// The connection had ended before the statement could be written.
+    ClosedBeforeRequest,
+    /// The connection ended after the statement was written and before the first byte of a response.
     ClosedBeforeResponse,
-    /// The proxy closed the connection within a response, or closed a new connection before a response.
+    /// The connection ended within a response.
     NoResponse,
     /// The proxy did not respond by the deadline and the grace period after it.
     TimedOut,
@@ -73,16 +78,17 @@
     }
 }
 
-/// Sends a statement on an idle connection or on a new one, and reads the response.
+/// Sends a statement on an idle connection or on a new one, and reads the response. Sends it once more if the
+/// idle connection ended without a response and the request may be executed twice.
 pub async fn exchange(
     shared: &SharedTrial,
     request: &ClientRequest,
     statement: &Statement,
 ) -> Result<ClientResponse, ExchangeError> {
-    let idle_stream = shared.with(|trial| trial.balancer_targets[request.proxy].idle.pop());
-    if let Some(stream) = idle_stream {
+    if let Some(stream) = take_idle_connection(shared, request.proxy) {
         match exchange_on(shared, stream, request, statement).await {
-            Err(ExchangeError::ClosedBeforeResponse) => {}
+            Err(ExchangeError::ClosedBeforeRequest) => {}
+            Err(ExchangeError::ClosedBeforeResponse) if may_resend(shared, request) => {}
             result => return result,
         }
     }
@@ -94,10 +100,24 @@
             start.first_request.get_or_insert(now - START_S - start.started_at);
         }
     });
-    match exchange_on(shared, stream, request, statement).await {
-        Err(ExchangeError::ClosedBeforeResponse) => Err(ExchangeError::NoResponse),
-        result => result,
-    }
+    exchange_on(shared, stream, request, statement).await
+}
+
+/// Takes an idle connection to a proxy that the proxy has not closed. Drops those that it has closed.
+fn take_idle_connection(shared: &SharedTrial, proxy: usize) -> Option<MessageStream> {
+    shared.with(|trial| {
+        let idle = &mut trial.balancer_targets[proxy].idle;
+        std::iter::from_fn(|| idle.pop()).find(MessageStream::is_reusable)
+    })
+}
+
+/// Returns whether a client may send a request again after its connection ended without a response. The
+/// request may have been executed.
+fn may_resend(shared: &SharedTrial, request: &ClientRequest) -> bool {
+    shared.with(|trial| {
+        let class = &trial.fleet.plan.settings.classes[request.class.0];
+        class.idempotency != Idempotency::NonIdempotent
+    })
 }
 
 async fn exchange_on(
@@ -107,7 +127,8 @@
     statement: &Statement,
 ) -> Result<ClientResponse, ExchangeError> {
     let clock = shared.clock();
-    stream.write_all(&query(&statement.text)).await.map_err(|_| ExchangeError::ClosedBeforeResponse)?;
+    stream.write_all(&query(&statement.text)).await.map_err(|_| ExchangeError::ClosedBeforeRequest)?;
+    let written_at = clock.now();
     shared.with(|trial| {
         trial.fleet.checker.request_accepted(AcceptedRequest {
             id: statement.id,
@@ -115,7 +136,7 @@
             class: request.class,
             session: request.session,
             token_commit: statement.token_commit,
-            accepted_at: clock.now(),
+            accepted_at: written_at,
             deadline: request.deadline,
         });
     });
@@ -135,7 +156,8 @@
             Ok((b'E', body)) => response = Some(classify_error(&body)),
             Ok((b'Z', _)) if response.is_some() => break,
             Ok(_) => {}
-            Err(_) if response.is_none() && stream.is_empty() => {
+            Err(error) if response.is_none() && stream.is_empty() => {
+                record_unanswered_close(shared, request, statement.id, written_at, &error);
                 return Err(ExchangeError::ClosedBeforeResponse);
             }
             Err(_) => return Err(ExchangeError::NoResponse),
@@ -150,6 +172,26 @@
     response.ok_or(ExchangeError::NoResponse)
 }
 
+/// Records that a connection ended without a response to the statement that was written to it.
+fn record_unanswered_close(
+    shared: &SharedTrial,
+    request: &ClientRequest,
+    id: u64,
+    written_at: f64,
+    error: &io::Error,
+) {
+    let is_orderly = error.kind() == io::ErrorKind::UnexpectedEof;
+    shared.with(|trial| {
+        let close = UnansweredClose {
+            written_at,
+            end: if is_orderly { ConnectionEnd::Closed } else { ConnectionEnd::Reset },
+            process_killed: trial.processes.was_killed_since(request.proxy, written_at),
+            process_paused: trial.processes.was_paused_since(request.proxy, written_at),
+        };
+        trial.fleet.checker.closed_without_answer(id, close, trial.clock.now());
+    });
+}
+
 /// Records that a client received the response to a write. Later reads of the session must return the write.
 fn write_acknowledged(shared: &SharedTrial, request: &ClientRequest, id: u64) {
     shared.with(|trial| {
@@ -171,3 +213,6 @@
     }
     ClientResponse::Failed
 }
+
+#[cfg(test)]
+mod tests;
--- a/testkit/src/fleet/process_trial/lifecycle.rs
+++ b/testkit/src/fleet/process_trial/lifecycle.rs
@@ -66,15 +66,13 @@
     .to_string()
 }
 
-fn kill_processes(trial: &mut TrialState, proxy: usize) {
-    trial.processes.kill(proxy, trial.clock.now());
-    trial.balancer_targets[proxy].idle.clear();
-}
-
 /// Kills the processes of a proxy, and starts a new one after `downtime_s` seconds.
 pub async fn kill(shared: SharedTrial, proxy: usize, downtime_s: f64) {
     let clock = shared.clock();
-    shared.with(|trial| kill_processes(trial, proxy));
+    shared.with(|trial| {
+        trial.processes.kill(proxy, clock.now());
+        trial.balancer_targets[proxy].idle.clear();
+    });
     clock.sleep_until(clock.now() + downtime_s).await;
     shared.with(|trial| trial.balancer_targets[proxy].admitted = false);
     start(&shared, proxy).await;
@@ -82,21 +80,26 @@
 
 /// Shuts down the processes of a proxy gracefully, and starts a new one. `downtime_s` is the time in seconds
 /// from the shutdown signal until that start, which comes after the shutdown timeout at the earliest.
+///
+/// Only the processes that got the signal are killed at the timeout. If an upgrade has started a successor
+/// meanwhile, it stays, and no further process is started.
 pub async fn restart(shared: SharedTrial, proxy: usize, downtime_s: f64) {
     let clock = shared.clock();
     let signalled_at = clock.now();
-    shared.with(|trial| trial.processes.shut_down(proxy));
+    let signalled = shared.with(|trial| trial.processes.shut_down(proxy));
     clock.sleep_until(signalled_at + BALANCER_DELAY_S).await;
     // Clients open no new connections to the proxy and keep their open ones.
     shared.with(|trial| trial.balancer_targets[proxy].admitted = false);
     clock.sleep_until(signalled_at + SHUTDOWN_TIMEOUT_S).await;
-    shared.with(|trial| kill_processes(trial, proxy));
+    shared.with(|trial| trial.processes.kill_processes(proxy, &signalled, clock.now()));
     clock.sleep_until(signalled_at + downtime_s.max(SHUTDOWN_TIMEOUT_S)).await;
-    start(&shared, proxy).await;
+    if shared.with(|trial| trial.processes.process_count(proxy)) == 0 {
+        start(&shared, proxy).await;
+    }
 }
 
 /// Upgrades a proxy by hot restart: starts a successor, and shuts down the predecessor once the successor is
-/// ready.
+/// ready. The predecessor may already be in its graceful shutdown, or may have ended it.
 /// Does nothing if the proxy does not have exactly one process.
 pub async fn upgrade(shared: SharedTrial, proxy: usize) {
     let clock = shared.clock();
@@ -108,7 +111,11 @@
     let Some(predecessor) = predecessor else { return };
     start(&shared, proxy).await;
     let Some(address) = shared.with(|trial| trial.processes.successor_admin_address(proxy)) else { return };
+    let successor = shared.with(|trial| trial.processes.start_index(proxy));
     while !admin::is_ready(address).await {
+        if shared.with(|trial| trial.processes.start_index(proxy)) != successor {
+            return; // the trial has killed the successor
+        }
         if clock.now() > started_at + READY_TIMEOUT_S {
             let violation = format!("proxy {proxy}: the successor was not ready after {READY_TIMEOUT_S} s");
             shared.with(|trial| trial.fleet.report.violations.push(violation));
--- a/testkit/src/fleet/process_trial/message_stream.rs
+++ b/testkit/src/fleet/process_trial/message_stream.rs
@@ -4,6 +4,7 @@
 //! A message or line above the maximum length is an error.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::time::Duration;
 
@@ -54,6 +55,13 @@
         }
     }
 
+    /// Returns whether a statement may be written to the idle connection: the peer has not closed it and has
+    /// sent nothing.
+    pub fn is_reusable(&self) -> bool {
+        let received = SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        self.buffer.is_empty() && received.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
     /// Returns whether all bytes that were read have been consumed.
     pub fn is_empty(&self) -> bool {
         self.buffer.is_empty()
--- a/testkit/src/fleet/process_trial/mod.rs
+++ b/testkit/src/fleet/process_trial/mod.rs
@@ -13,6 +13,8 @@
 mod faults;
 mod lifecycle;
 mod message_stream;
+mod pause_monitor;
+mod process_owner;
 mod process_table;
 mod proxy_config;
 mod server_connections;
@@ -67,6 +69,7 @@
         let spread_s = shared.with(|trial| plan.start_spread_s * trial.fleet.rng.random::<f64>());
         spawn_local(run_proxy(shared.clone(), proxy, START_S + spread_s));
     }
+    spawn_local(pause_monitor::run(shared.clone()));
     for scheduled in plan.faults {
         let shared = shared.clone();
         spawn_local(async move {
--- a/testkit/src/fleet/process_trial/process_table.rs
+++ b/testkit/src/fleet/process_trial/process_table.rs
@@ -192,13 +192,18 @@
         self.proxies[proxy].processes.len()
     }
 
+    /// Returns the ids of the processes of a proxy, the newest last.
+    pub fn process_ids(&self, proxy: usize) -> Vec<u32> {
+        self.proxies[proxy].processes.iter().map(|process| process.child.0.id()).collect()
+    }
+
     /// Returns the index in the report's starts of a proxy's newest process. Returns `None` if the proxy has
     /// no process.
     pub fn start_index(&self, proxy: usize) -> Option<usize> {
         self.proxies[proxy].processes.last().map(|process| process.start_index)
     }
 
-    /// Returns whether the processes of a proxy were last killed at or after the time `since`.
+    /// Returns whether a running process of a proxy was last killed at or after the time `since`.
     pub fn was_killed_since(&self, proxy: usize, since: f64) -> bool {
         self.proxies[proxy].last_killed_at.is_some_and(|at| at >= since)
     }
@@ -241,9 +246,11 @@
         self.proxies[proxy].send_signal(Signal::HUP);
     }
 
-    /// Makes the processes of a proxy shut down gracefully, with `SIGTERM`.
-    pub fn shut_down(&self, proxy: usize) {
+    /// Makes the processes of a proxy shut down gracefully, with `SIGTERM`. Returns the start indexes of these
+    /// processes.
+    pub fn shut_down(&self, proxy: usize) -> Vec<usize> {
         self.proxies[proxy].send_signal(Signal::TERM);
+        self.proxies[proxy].processes.iter().map(|process| process.start_index).collect()
     }
 
     /// Makes one process of a proxy shut down gracefully, with `SIGTERM`. Does nothing if the process has
@@ -262,10 +269,22 @@
         process.is_none_or(|process| process.child.has_exited())
     }
 
-    /// Kills all processes of a proxy, and records the time.
+    /// Kills all processes of a proxy. Records the time if one of them was still running.
     pub fn kill(&mut self, proxy: usize, now: f64) {
-        self.proxies[proxy].last_killed_at = Some(now);
-        self.proxies[proxy].kill_all_but_newest(0);
+        let all: Vec<_> = self.proxies[proxy].processes.iter().map(|process| process.start_index).collect();
+        self.kill_processes(proxy, &all, now);
+    }
+
+    /// Kills those processes of a proxy that have one of the start indexes. Records the time if one of them
+    /// was still running: a process that has exited by itself had to answer all that it had read.
+    pub fn kill_processes(&mut self, proxy: usize, start_indexes: &[usize], now: f64) {
+        let proxy = &mut self.proxies[proxy];
+        let killed = proxy.processes.extract_if(.., |process| start_indexes.contains(&process.start_index));
+        for mut process in killed {
+            if !process.child.has_exited() {
+                proxy.last_killed_at = Some(now);
+            }
+        }
     }
 
     /// Kills all processes of a proxy except for the newest one.
--- a/testkit/src/fleet/process_trial/server_connections.rs
+++ b/testkit/src/fleet/process_trial/server_connections.rs
@@ -4,17 +4,20 @@
 //! are written after the delay of the link. A connection that has lost data, because its link or its server
 //! dropped it, writes nothing more. It is reset once the link and the server pass data again.
 
+use std::cell::Cell;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::net::TcpStream;
 use tokio::sync::watch;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_blocking, spawn_local};
 
 use super::super::link_faults::{LinkEnd, LinkState};
 use super::super::server_model::ServerState;
 use super::message_stream::{error_message, MessageStream};
-use super::server_execution::{execute, request_id, ServerResponse};
+use super::process_owner::{owner, ConnectionEnds};
+use super::server_execution::{execute, request_id, ReceivedStatement, ServerResponse};
 use super::state::{SharedTrial, TrialState};
 use crate::wire::message;
 
@@ -54,6 +57,8 @@
     /// Incarnation of the server when the proxy opened the connection.
     incarnation: u32,
     opened_at: f64,
+    /// Id of the process that opened the connection; `None` until it is known.
+    process: Rc<Cell<Option<u32>>>,
     state_changes: watch::Receiver<u64>,
     /// Whether data of the connection was dropped. The connection is reset once the link is open and the
     /// server is responsive again.
@@ -100,6 +105,7 @@
             server,
             incarnation,
             opened_at: shared.now(),
+            process: Rc::default(),
             state_changes: shared.with(|trial| trial.state_changes.subscribe()),
             data_lost: false,
         }
@@ -145,6 +151,7 @@
     }
 
     async fn run(mut self, stream: TcpStream) {
+        self.identify_process(&stream);
         let Ok(mut stream) = MessageStream::new(stream) else { return };
         let end = match self.accept(&mut stream).await {
             Ok(true) => {
@@ -160,6 +167,22 @@
         }
     }
 
+    /// Finds the process that opened the connection. If the proxy has several processes, looks it up in the
+    /// background, because the lookup would delay the other sockets.
+    fn identify_process(&self, stream: &TcpStream) {
+        let processes = self.shared.with(|trial| trial.processes.process_ids(self.proxy));
+        if let [process] = processes[..] {
+            self.process.set(Some(process));
+            return;
+        }
+        let (Ok(local), Ok(remote)) = (stream.peer_addr(), stream.local_addr()) else { return };
+        let process = self.process.clone();
+        spawn_local(async move {
+            let found = spawn_blocking(move || owner(&processes, ConnectionEnds { local, remote })).await;
+            process.set(found.ok().flatten());
+        });
+    }
+
     /// Removes the connection from the count of open connections at the server.
     fn record_closed(&self) {
         self.shared.with(|trial| {
@@ -209,7 +232,13 @@
             if state.link.requests_dropped || state.server == ServerState::Unresponsive {
                 return self.drop_data().await;
             }
-            let execution = execute(self.shared.clone(), self.proxy, self.server, text.clone());
+            let statement = ReceivedStatement {
+                proxy: self.proxy,
+                process: self.process.get(),
+                server: self.server,
+                text: text.clone(),
+            };
+            let execution = execute(self.shared.clone(), statement);
             let response = tokio::select! {
                 end = self.wait_for_reset() => return end,
                 () = stream.wait_until_closed() => return self.record_abandoned_attempt(&text),
--- a/testkit/src/fleet/process_trial/server_execution.rs
+++ b/testkit/src/fleet/process_trial/server_execution.rs
@@ -73,10 +73,21 @@
     comment_value(text, "id").and_then(|id| u64::from_str_radix(id, 16).ok())
 }
 
+/// Statement that a server has received.
+pub struct ReceivedStatement {
+    pub proxy: usize,
+    /// Id of the process that sent the statement; `None` if it is not known yet.
+    pub process: Option<u32>,
+    pub server: usize,
+    pub text: String,
+}
+
 /// Attempt that has reached a server.
 #[derive(Clone)]
 struct Attempt {
     shared: SharedTrial,
+    proxy: usize,
+    process: Option<u32>,
     server: usize,
     request: u64,
     class: ClassId,
@@ -88,12 +99,8 @@
 }
 
 /// Executes a statement, and returns the response. Returns `None` if the server never responds.
-pub async fn execute(
-    shared: SharedTrial,
-    proxy: usize,
-    server: usize,
-    text: String,
-) -> Option<ServerResponse> {
+pub async fn execute(shared: SharedTrial, statement: ReceivedStatement) -> Option<ServerResponse> {
+    let ReceivedStatement { proxy, process, server, text } = statement;
     if text == HEALTH_CHECK_STATEMENT || text == LOAD_REPORT_STATEMENT {
         return health_check(&shared, server, &text).await;
     }
@@ -111,8 +118,8 @@
         return Some(ServerResponse::without_status(error_message(PROTOCOL_VIOLATION)));
     };
     let may_read_stale = shared.with(|trial| may_read_stale(trial, proxy, server, sent_at));
-    let attempt = Attempt { shared, server, request, class, work_s, sent_at, may_read_stale };
-    let admission = attempt.admit(proxy);
+    let attempt = Attempt { shared, proxy, process, server, request, class, work_s, sent_at, may_read_stale };
+    let admission = attempt.admit();
     attempt.shared.sleep_one_way(proxy, server, 1.0).await;
     match admission {
         RequestAdmission::NoResponse => None,
@@ -145,9 +152,9 @@
 
 impl Attempt {
     /// Passes the attempt to the model of its server, and records it in the report and the rule checker.
-    fn admit(&self, proxy: usize) -> RequestAdmission {
+    fn admit(&self) -> RequestAdmission {
         self.shared.with(|trial| {
-            let known_start = trial.known_starts.get(&(proxy, self.server)).copied();
+            let known_start = trial.known_starts.get(&(self.proxy, self.server)).copied();
             let request = IncomingRequest {
                 class: self.class,
                 work_s: self.work_s,
@@ -158,7 +165,7 @@
             if !fleet.is_write(self.class) && fleet.backends.is_primary(self.server) {
                 fleet.report.reads_at_primaries += 1;
             }
-            fleet.checker.attempt_sent(self.request, self.server, self.sent_at);
+            fleet.checker.process_sent_attempt(self.request, self.server, self.process, self.sent_at);
             fleet.checker.statement_written(self.request, self.server, self.sent_at);
             fleet.backends.admit(self.server, request, self.sent_at)
         })
--- a/testkit/src/fleet/report.rs
+++ b/testkit/src/fleet/report.rs
@@ -75,6 +75,9 @@
     /// Tries without an answer: the proxy was unreachable, closed the connection or did not respond in time.
     #[serde(rename = "unheard")]
     pub unreachable: usize,
+    /// Tries among the unreachable ones whose connection ended after the statement was written. Their outcome
+    /// is unknown to the client, which sent those again that may be executed twice.
+    pub closed_unanswered: usize,
     /// Attempts that proxies sent to servers.
     pub attempts: usize,
     /// Attempts of reads that proxies sent to primaries.
--- a/testkit/src/fleet/rule_checker.rs
+++ b/testkit/src/fleet/rule_checker.rs
@@ -5,117 +5,28 @@
 //! Replication positions come from the models, not from the servers' reports. All times are trial times in
 //! seconds; a commit is identified by its commit time.
 
-use std::collections::HashMap;
+mod messages;
+mod request_state;
+mod trace;
 
-use pipittack_core::api::{
-    Class, ClassId, Consistency, EndpointState, Idempotency, KeyScope, Outcome, Settings,
-};
+use std::collections::HashMap;
 
-/// A violation of a service rule.
-#[derive(Debug, Clone, PartialEq)]
-pub struct Violation {
-    /// Time of the violation, in seconds.
-    pub at: f64,
-    /// Rule that was violated.
-    pub rule: Rule,
-    /// Description of the event that violated the rule.
-    pub description: String,
-}
+use pipittack_core::api::{ClassId, Consistency, EndpointState, Idempotency, KeyScope, Outcome, Settings};
 
-/// Rules that proxies must follow.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Rule {
-    /// Each request gets exactly one final answer by its deadline, and no attempt is sent after the answer.
-    AnswerInTime,
-    /// A request that may have been executed is not executed again and not rejected as safe to retry, unless
-    /// the request is idempotent or its idempotency key prevents a second execution.
-    NoDuplicateExecution,
-    /// A draining or removed server receives no new requests after a grace period.
-    NoRequestsToDraining,
-    /// Proxies that know of a server's start do not overload the server while it warms up.
-    NoWarmUpOverload,
-    /// A read returns data that meets the consistency requirement of its class.
-    NoStaleRead,
-    /// The number of attempts of a request stays within the limit.
-    MaxAttempts,
-}
+pub use messages::{
+    AcceptedRequest, ConnectionEnd, FinalAnswer, ReplicaRead, Rule, TrialPause, UnansweredClose, Violation,
+};
+use request_state::{duplicate_execution_reason, PossibleExecution, RequestState};
+use trace::TraceEvent;
 
 /// Share of the load on a server that crashed while it warmed up, above which the proxies that were informed
 /// of its start violate [`Rule::NoWarmUpOverload`].
 pub const MAX_INFORMED_SHARE: f64 = 2.0 / 3.0;
 /// Tolerance for time limits, in seconds.
 const TOLERANCE_S: f64 = 0.05;
-
-/// A request that a proxy has accepted.
-#[derive(Debug, Clone, Copy)]
-pub struct AcceptedRequest {
-    /// Id of the request, unique in the trial.
-    pub id: u64,
-    /// Index of the proxy.
-    pub proxy: usize,
-    /// Class of the request.
-    pub class: ClassId,
-    /// Id of the session.
-    pub session: u64,
-    /// Commit time in the session token of the request, in seconds; `None` if the client sent no token.
-    pub token_commit: Option<f64>,
-    /// Time at which the proxy accepted the request, in seconds.
-    pub accepted_at: f64,
-    /// Deadline of the request, in seconds.
-    pub deadline: f64,
-}
-
-/// A read that a replica has executed.
-#[derive(Debug, Clone, Copy)]
-pub struct ReplicaRead {
-    /// Id of the request.
-    pub request: u64,
-    /// Time at which the attempt was sent, in seconds.
-    pub sent_at: f64,
-    /// Replication position of the data that the replica returned, in seconds.
-    pub position: f64,
-    /// Whether stale data is no violation, because the server was primary before and the proxy could not yet
-    /// know that it no longer is.
-    pub may_read_stale: bool,
-}
-
-/// Kind of a final answer.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum FinalAnswer {
-    /// A rejection, which promises that the client can retry safely.
-    Rejected,
-    /// A response or another error.
-    Other,
-}
-
-/// An attempt that may have been executed.
-#[derive(Debug, Clone, Copy)]
-struct PossibleExecution {
-    sent_at: f64,
-    server: usize,
-}
-
-/// State of a request that a proxy has accepted.
-#[derive(Debug)]
-struct RequestState {
-    class: ClassId,
-    proxy: usize,
-    accepted_at: f64,
-    deadline: f64,
-    /// Whether the request was answered or abandoned.
-    ended: bool,
-    /// Whether nobody waits for an answer any more.
-    abandoned: bool,
-    /// Number of attempts sent so far.
-    attempts: u32,
-    /// Server of each attempt in flight, by attempt number.
-    in_flight: HashMap<u32, usize>,
-    /// First ended attempt that may have been executed.
-    possible_execution: Option<PossibleExecution>,
-    /// Minimum replication position of the data that a causal or linearizable read must return, in seconds; 0
-    /// for other classes.
-    min_position: f64,
-}
+/// Longest time in seconds from the write of a statement to the end of its connection for which the proxy may
+/// not have read the statement. A process may be held up for as long between its decision and the close.
+const MAX_CROSSING_S: f64 = 0.15;
 
 /// Checker of the service rules.
 #[derive(Debug)]
@@ -130,6 +41,8 @@
     write_executions: HashMap<u64, u32>,
     /// Zone of each server.
     zones: Vec<usize>,
+    /// Pauses of the trial's own thread, in the order of their ends.
+    trial_pauses: Vec<TrialPause>,
     /// Violations in the order of their detection.
     pub violations: Vec<Violation>,
 }
@@ -144,6 +57,7 @@
             session_commits: HashMap::new(),
             write_executions: HashMap::new(),
             zones: Vec::new(),
+            trial_pauses: Vec::new(),
             violations: Vec::new(),
         }
     }
@@ -159,6 +73,17 @@
         self.violations.push(Violation { at, rule, description });
     }
 
+    /// Records a violation in the handling of a request.
+    fn report_request_violation(&mut self, id: u64, at: f64, rule: Rule, description: &str) {
+        let description = match self.requests.get(&id) {
+            Some(RequestState { proxy, trace, .. }) => {
+                format!("request {id} of proxy {proxy}: {description} ({trace})")
+            }
+            None => format!("request {id}: {description}"),
+        };
+        self.report_violation(at, rule, description);
+    }
+
     /// Records that a server crashed on overload while it warmed up. `informed_share` is the share of its
     /// load that came from proxies that were informed of its start.
     pub fn server_crashed(&mut self, server: usize, informed_share: f64, now: f64) {
@@ -171,7 +96,8 @@
         }
     }
 
-    /// Records that a proxy accepted a request.
+    /// Records that a proxy accepted a request. A client may send a request again after its connection ended
+    /// without an answer; what is known of the earlier attempts then still counts.
     pub fn request_accepted(&mut self, request: AcceptedRequest) {
         let min_position = match self.settings.classes[request.class.0].consistency {
             Consistency::Linearizable => request.accepted_at,
@@ -182,19 +108,46 @@
             }
             _ => 0.0,
         };
-        let state = RequestState {
-            class: request.class,
-            proxy: request.proxy,
-            accepted_at: request.accepted_at,
-            deadline: request.deadline,
-            ended: false,
-            abandoned: false,
-            attempts: 0,
-            in_flight: HashMap::new(),
-            possible_execution: None,
-            min_position,
+        let Some(state) = self.requests.get_mut(&request.id) else {
+            self.requests.insert(request.id, RequestState::new(&request, min_position));
+            return;
         };
-        self.requests.insert(request.id, state);
+        let may_have_been_executed = state.may_have_been_executed();
+        state.accept_again(&request, min_position);
+        let class = &self.settings.classes[request.class.0];
+        if may_have_been_executed && class.idempotency == Idempotency::NonIdempotent {
+            self.report_request_violation(
+                request.id,
+                request.accepted_at,
+                Rule::NoDuplicateExecution,
+                "sent again by its client, but it may have been executed",
+            );
+        }
+    }
+
+    /// Records that the connection of a request ended without a byte of an answer. A proxy may close a
+    /// connection between requests, and this may cross a request that it has not read. It must answer what it
+    /// has read, unless its process is killed.
+    pub fn closed_without_answer(&mut self, id: u64, close: UnansweredClose, now: f64) {
+        let Some(state) = self.requests.get_mut(&id) else { return };
+        let UnansweredClose { end, process_killed, .. } = close;
+        state.trace.push(now, TraceEvent::Closed { end, process_killed });
+        let attempts = state.current_attempts();
+        let open_s = now - close.written_at;
+        state.ended = true;
+        state.abandoned = true;
+        if process_killed {
+            return;
+        }
+        state.closed_unread = true;
+        let was_read = attempts > 0 || (open_s > MAX_CROSSING_S + TOLERANCE_S && !close.process_paused);
+        if was_read {
+            let description = format!(
+                "connection ended ({end:?}) without an answer, {open_s:.3} s after the statement was written \
+                 and after {attempts} attempts"
+            );
+            self.report_request_violation(id, now, Rule::AnswerInTime, &description);
+        }
     }
 
     /// Records that a proxy acknowledged a write of a session with this commit time.
@@ -214,15 +167,25 @@
 
     /// Records that a proxy decided to send an attempt of a request to a server.
     pub fn attempt_sent(&mut self, id: u64, server: usize, now: f64) {
+        self.process_sent_attempt(id, server, None, now);
+    }
+
+    /// Records that a process decided to send an attempt of a request to a server. `process` is its id, if it
+    /// is known.
+    pub fn process_sent_attempt(&mut self, id: u64, server: usize, process: Option<u32>, now: f64) {
         let Some(state) = self.requests.get_mut(&id) else { return };
+        state.trace.push(now, TraceEvent::AttemptSent { server, process });
         let mut violations_found = Vec::new();
         if state.ended && !state.abandoned {
             violations_found.push((Rule::AnswerInTime, "attempt sent after the final answer"));
         }
-        if state.attempts >= self.settings.limits.max_attempts {
+        if state.closed_unread {
+            violations_found.push((Rule::AnswerInTime, "attempt sent after the connection was closed"));
+        }
+        if state.current_attempts() >= self.settings.limits.max_attempts {
             violations_found.push((Rule::MaxAttempts, "attempt exceeds the maximum number of attempts"));
         }
-        if !state.in_flight.is_empty() && !self.settings.limits.allow_hedging {
+        if state.has_current_attempt_in_flight() && !self.settings.limits.allow_hedging {
             violations_found
                 .push((Rule::NoDuplicateExecution, "hedged request, which the settings do not allow"));
         }
@@ -233,7 +196,8 @@
         state.in_flight.insert(state.attempts, server);
         state.attempts += 1;
         for (rule, description) in violations_found {
-            self.report_violation(now, rule, format!("request {id} to server {server}: {description}"));
+            let description = format!("attempt at server {server}: {description}");
+            self.report_request_violation(id, now, rule, &description);
         }
     }
 
@@ -243,9 +207,8 @@
         let grace_period = self.settings.rules.drain_grace_period.as_secs_f64() + TOLERANCE_S;
         let withdrawn_at = self.withdrawn_at.get(&(state.proxy, server));
         if withdrawn_at.is_some_and(|at| now > at + grace_period) {
-            let description =
-                format!("request {id} to server {server}: statement sent after the drain grace period");
-            self.report_violation(now, Rule::NoRequestsToDraining, description);
+            let description = format!("server {server}: statement sent after the drain grace period");
+            self.report_request_violation(id, now, Rule::NoRequestsToDraining, &description);
         }
     }
 
@@ -258,26 +221,20 @@
             Consistency::Write | Consistency::Eventual => return,
         };
         if read.position < min_position && !read.may_read_stale {
-            let description = format!(
-                "request {} of proxy {}: data is {:.3} s too old",
-                read.request,
-                state.proxy,
-                min_position - read.position
-            );
-            self.report_violation(now, Rule::NoStaleRead, description);
+            let description = format!("data is {:.3} s too old", min_position - read.position);
+            self.report_request_violation(read.request, now, Rule::NoStaleRead, &description);
         }
     }
 
     /// Records that a server executed a write.
     pub fn write_executed(&mut self, id: u64, class: ClassId, now: f64) {
+        if let Some(state) = self.requests.get_mut(&id) {
+            state.trace.push(now, TraceEvent::Executed);
+        }
         let executions = self.write_executions.entry(id).or_default();
         *executions += 1;
         if *executions > 1 && self.settings.classes[class.0].idempotency == Idempotency::NonIdempotent {
-            self.report_violation(
-                now,
-                Rule::NoDuplicateExecution,
-                format!("request {id} was executed twice"),
-            );
+            self.report_request_violation(id, now, Rule::NoDuplicateExecution, "executed twice");
         }
     }
 
@@ -292,17 +249,22 @@
 
     /// Records the outcome of an attempt as the server observed it. The server does not know the attempt's
     /// number, so the outcome counts for one of the attempts in flight at the server.
-    pub fn attempt_ended_at_server(&mut self, id: u64, server: usize, outcome: Outcome, sent_at: f64) {
-        let Some(state) = self.requests.get(&id) else { return };
-        let attempt = state.in_flight.iter().find(|(_, at)| **at == server).map(|(attempt, _)| *attempt);
-        if let Some(attempt) = attempt {
-            self.attempt_ended(id, attempt, outcome, sent_at);
-        }
+    pub fn attempt_ended_at_server(&mut self, id: u64, server: usize, outcome: Outcome, now: f64) {
+        self.end_attempt_at(id, server, outcome, now, TraceEvent::AttemptEnded { server, outcome });
     }
 
     /// Records that a proxy closed the connection of an attempt, which may have been executed.
     pub fn attempt_abandoned(&mut self, id: u64, server: usize, now: f64) {
-        self.attempt_ended_at_server(id, server, Outcome::Timeout, now);
+        self.end_attempt_at(id, server, Outcome::Timeout, now, TraceEvent::AttemptAbandoned { server });
+    }
+
+    fn end_attempt_at(&mut self, id: u64, server: usize, outcome: Outcome, now: f64, event: TraceEvent) {
+        let Some(state) = self.requests.get_mut(&id) else { return };
+        state.trace.push(now, event);
+        let attempt = state.in_flight.iter().find(|(_, at)| **at == server).map(|(attempt, _)| *attempt);
+        if let Some(attempt) = attempt {
+            self.attempt_ended(id, attempt, outcome, now);
+        }
     }
 
     /// Records that a proxy sent the final answer to a request.
@@ -310,7 +272,7 @@
         let Some(state) = self.requests.get_mut(&id) else { return };
         let grace_period = self.settings.rules.answer_grace_period.as_secs_f64() + TOLERANCE_S;
         let is_late = now > state.deadline + grace_period;
-        let may_have_been_executed = state.possible_execution.is_some() || !state.in_flight.is_empty();
+        let may_have_been_executed = state.may_have_been_executed();
         let retry_is_safe = match self.settings.classes[state.class.0].idempotency {
             Idempotency::Idempotent => true,
             Idempotency::WithKey { scope, .. } => scope == KeyScope::All || !may_have_been_executed,
@@ -319,23 +281,34 @@
         let answered_before = state.ended;
         let wait_s = now - state.accepted_at;
         state.ended = true;
+        state.trace.push(now, TraceEvent::Answered(answer));
         if answered_before {
-            self.report_violation(now, Rule::AnswerInTime, format!("request {id}: second final answer"));
+            self.report_request_violation(id, now, Rule::AnswerInTime, "second final answer");
         }
         if is_late {
-            self.report_violation(
-                now,
-                Rule::AnswerInTime,
-                format!("request {id}: answered after {wait_s:.3} s"),
-            );
+            let pause = self.longest_trial_pause(now - wait_s);
+            let description = format!("answered after {wait_s:.3} s, longest pause of the trial {pause}");
+            self.report_request_violation(id, now, Rule::AnswerInTime, &description);
         }
         if answer == FinalAnswer::Rejected && !retry_is_safe {
-            let description =
-                format!("request {id}: rejected as safe to retry, but the request may have been executed");
-            self.report_violation(now, Rule::NoDuplicateExecution, description);
+            let description = "rejected as safe to retry, but the request may have been executed";
+            self.report_request_violation(id, now, Rule::NoDuplicateExecution, description);
         }
     }
 
+    /// Records a pause of the trial's own thread. A pause excuses nothing: the description of a late answer
+    /// contains it.
+    pub fn trial_paused(&mut self, pause: TrialPause) {
+        self.trial_pauses.push(pause);
+    }
+
+    /// Returns the longest pause of the trial's thread that ended after `since`; a pause of zero length without
+    /// one.
+    fn longest_trial_pause(&self, since: f64) -> TrialPause {
+        let pauses = self.trial_pauses.iter().copied().filter(|pause| pause.ended_at > since);
+        pauses.max_by(|a, b| a.length_s.total_cmp(&b.length_s)).unwrap_or_default()
+    }
+
     /// Records that a request needs no answer any more, because the client disconnected or the proxy was
     /// killed.
     pub fn request_abandoned(&mut self, id: u64) {
@@ -350,16 +323,11 @@
         let grace_period = self.settings.rules.answer_grace_period.as_secs_f64() + TOLERANCE_S;
         let unanswered = self.requests.iter().filter(|(_, state)| !state.ended);
         let unanswered = unanswered.filter(|(_, state)| now > state.deadline + grace_period);
-        let mut descriptions: Vec<(u64, String)> = unanswered
-            .map(|(id, state)| {
-                let age_s = now - state.accepted_at;
-                let proxy = state.proxy;
-                (*id, format!("request {id} of proxy {proxy}, accepted {age_s:.3} s ago: no answer"))
-            })
-            .collect();
-        descriptions.sort_by_key(|(id, _)| *id);
-        for (_, description) in descriptions {
-            self.report_violation(now, Rule::AnswerInTime, description);
+        let mut unanswered: Vec<_> = unanswered.map(|(id, state)| (*id, now - state.accepted_at)).collect();
+        unanswered.sort_by_key(|(id, _)| *id);
+        for (id, age_s) in unanswered {
+            let description = format!("accepted {age_s:.3} s ago, no answer");
+            self.report_request_violation(id, now, Rule::AnswerInTime, &description);
         }
     }
 
@@ -377,30 +345,5 @@
     }
 }
 
-/// Returns why another attempt at `server` could violate [`Rule::NoDuplicateExecution`]; `None` if the
-/// attempt is allowed.
-fn duplicate_execution_reason(
-    state: &RequestState,
-    class: &Class,
-    zones: &[usize],
-    server: usize,
-    now: f64,
-) -> Option<&'static str> {
-    // An attempt in flight may be executed, too.
-    let in_flight = state.in_flight.values().next();
-    let in_flight = in_flight.map(|server| PossibleExecution { sent_at: now, server: *server });
-    let possible_execution = state.possible_execution.or(in_flight)?;
-    match class.idempotency {
-        Idempotency::NonIdempotent => Some("retry after a possible execution"),
-        Idempotency::WithKey { scope, window } => {
-            let other_zone =
-                scope == KeyScope::Zone && zones.get(possible_execution.server) != zones.get(server);
-            let expired = now > possible_execution.sent_at + window.as_secs_f64();
-            (other_zone || expired).then_some("retry outside the scope or window of its idempotency key")
-        }
-        Idempotency::Idempotent => None,
-    }
-}
-
 #[cfg(test)]
 mod tests;
--- a/testkit/src/fleet/rule_checker/tests.rs
+++ b/testkit/src/fleet/rule_checker/tests.rs
@@ -67,12 +67,9 @@
     })
 }
 
-/// Returns the rules that are violated when `steps` follow a request that was accepted at 1 s with a deadline
-/// of 3 s. Its session has a write that was committed at 0.9 s.
-fn violations(class: ClassId, steps: impl FnOnce(&mut RuleChecker)) -> Vec<Rule> {
-    let mut checker = create_checker();
-    checker.write_acknowledged(0, 7, 0.9);
-    checker.request_accepted(AcceptedRequest {
+/// Returns a request of session 7 that was accepted at 1 s with a deadline of 3 s.
+fn request(class: ClassId) -> AcceptedRequest {
+    AcceptedRequest {
         id: 1,
         proxy: 0,
         class,
@@ -80,7 +77,15 @@
         token_commit: None,
         accepted_at: 1.0,
         deadline: 3.0,
-    });
+    }
+}
+
+/// Returns the rules that are violated when `steps` follow a request that was accepted at 1 s with a deadline
+/// of 3 s. Its session has a write that was committed at 0.9 s.
+fn violations(class: ClassId, steps: impl FnOnce(&mut RuleChecker)) -> Vec<Rule> {
+    let mut checker = create_checker();
+    checker.write_acknowledged(0, 7, 0.9);
+    checker.request_accepted(request(class));
     steps(&mut checker);
     checker.finish(9.0);
     checker.violations.iter().map(|violation| violation.rule).collect()
@@ -192,3 +197,102 @@
     assert_eq!(violations(READ, two_attempts), []);
     assert_eq!(violations(READ, three_attempts), [Rule::MaxAttempts]);
 }
+
+/// Guards against a checker that forgets a possible execution when the client sends the request again.
+#[test]
+fn a_write_that_may_have_been_executed_must_not_be_sent_again_by_its_client() {
+    let send_again = |class, outcome| {
+        move |checker: &mut RuleChecker| {
+            send_attempt(checker);
+            checker.attempt_ended_at_server(1, 4, outcome, 1.1);
+            checker.request_accepted(AcceptedRequest { accepted_at: 1.2, ..request(class) });
+            answer_request(checker);
+        }
+    };
+    assert_eq!(violations(WRITE, send_again(WRITE, Outcome::Rejected)), []);
+    assert_eq!(violations(WRITE, send_again(WRITE, Outcome::Timeout)), [Rule::NoDuplicateExecution]);
+    assert_eq!(violations(READ, send_again(READ, Outcome::Timeout)), []);
+    let send_again_in_flight = |checker: &mut RuleChecker| {
+        send_attempt(checker);
+        checker.request_accepted(AcceptedRequest { accepted_at: 1.2, ..request(WRITE) });
+        answer_request(checker);
+    };
+    assert_eq!(violations(WRITE, send_again_in_flight), [Rule::NoDuplicateExecution]);
+}
+
+#[test]
+fn attempts_before_a_second_acceptance_count_as_executions_and_not_as_hedged_requests() {
+    let attempts_around_acceptance = |class| {
+        move |checker: &mut RuleChecker| {
+            send_attempt(checker);
+            checker.request_accepted(AcceptedRequest { accepted_at: 1.2, ..request(class) });
+            checker.attempt_sent(1, 5, 1.3);
+            answer_request(checker);
+        }
+    };
+    assert_eq!(violations(READ, attempts_around_acceptance(READ)), []);
+    assert_eq!(
+        violations(WRITE, attempts_around_acceptance(WRITE)),
+        [Rule::NoDuplicateExecution, Rule::NoDuplicateExecution]
+    );
+}
+
+/// Guards against a proxy that closes the connection of a request that it has read.
+#[test]
+fn a_connection_that_ends_without_an_answer_is_a_violation_unless_the_statement_may_be_unread() {
+    let close = UnansweredClose {
+        written_at: 1.0,
+        end: ConnectionEnd::Closed,
+        process_killed: false,
+        process_paused: false,
+    };
+    let close_at =
+        |at: f64, close| move |checker: &mut RuleChecker| checker.closed_without_answer(1, close, at);
+    assert_eq!(violations(READ, close_at(1.1, close)), []);
+    assert_eq!(violations(READ, close_at(1.21, close)), [Rule::AnswerInTime]);
+    let reset = UnansweredClose { end: ConnectionEnd::Reset, ..close };
+    assert_eq!(violations(READ, close_at(1.21, reset)), [Rule::AnswerInTime]);
+    let killed = UnansweredClose { process_killed: true, ..close };
+    assert_eq!(violations(READ, close_at(1.21, killed)), []);
+    let paused = UnansweredClose { process_paused: true, ..close };
+    assert_eq!(violations(READ, close_at(1.21, paused)), []);
+    let close_after_attempt = |checker: &mut RuleChecker| {
+        send_attempt(checker);
+        close_at(1.1, paused)(checker);
+    };
+    assert_eq!(violations(READ, close_after_attempt), [Rule::AnswerInTime]);
+    let attempt_after_close = |checker: &mut RuleChecker| {
+        close_at(1.1, close)(checker);
+        send_attempt(checker);
+    };
+    assert_eq!(violations(READ, attempt_after_close), [Rule::AnswerInTime]);
+}
+
+#[test]
+fn a_violation_names_the_events_of_its_request() {
+    let mut checker = create_checker();
+    checker.request_accepted(request(WRITE));
+    checker.process_sent_attempt(1, 4, Some(77), 1.1);
+    checker.attempt_abandoned(1, 4, 1.2);
+    checker.request_accepted(AcceptedRequest { accepted_at: 1.3, ..request(WRITE) });
+    let description = &checker.violations[0].description;
+    for event in
+        ["statement written", "attempt sent to server 4 by process 77", "attempt at server 4 abandoned"]
+    {
+        assert!(description.contains(event), "{description}");
+    }
+}
+
+/// A pause of the trial excuses no late answer, but the violation names it.
+#[test]
+fn a_late_answer_names_the_longest_pause_of_the_trial_since_its_request() {
+    let mut checker = create_checker();
+    let pause = |length_s, ended_at| TrialPause { ended_at, length_s, ..TrialPause::default() };
+    checker.trial_paused(pause(0.9, 0.95));
+    checker.request_accepted(request(READ));
+    checker.trial_paused(pause(0.25, 2.0));
+    checker.trial_paused(pause(0.1, 3.0));
+    checker.request_answered(1, FinalAnswer::Other, 3.2);
+    let description = &checker.violations[0].description;
+    assert!(description.contains("longest pause of the trial 0.250 s"), "{description}");
+}
