End a hand-over at a frame whose end is unknown, instead of reading its payload as frames

Cause: receive_clients went on after any malformed frame, though of a frame of unknown kind or excessive length only the header was read. Change: only a frame that was read to its end is skipped. Any other error ends the hand-over with a line that names it. Test: a_frame_whose_end_is_unknown_ends_the_handover, both cases fail before (the hand-over ended without an error).

--- a/src/net/hot_restart/frame.rs
+++ b/src/net/hot_restart/frame.rs
@@ -49,15 +49,12 @@
 }
 
 impl FrameError {
-    /// Returns whether the error concerns only this frame, so that the receiver may read the next one.
-    pub(super) fn is_malformed(&self) -> bool {
+    /// Returns whether the error concerns only this frame, which was read to its end, so that the receiver may
+    /// read the next one.
+    pub(super) fn concerns_one_frame(&self) -> bool {
         match self {
-            Self::TooLong
-            | Self::UnknownKind(_)
-            | Self::Checksum
-            | Self::MissingDescriptor
-            | Self::NotANumber => true,
-            Self::Truncated | Self::Io(_) => false,
+            Self::Checksum | Self::MissingDescriptor | Self::NotANumber => true,
+            Self::TooLong | Self::UnknownKind(_) | Self::Truncated | Self::Io(_) => false,
         }
     }
 }
--- a/src/net/hot_restart/takeover.rs
+++ b/src/net/hot_restart/takeover.rs
@@ -183,19 +183,32 @@
     /// Receives client connections until the connection to the predecessor closes or fails, then reclaims the
     /// divided resources.
     pub async fn receive_clients(self, resources: &SharedResources) {
+        if let Err(e) = self.receive_each_client(|client| take_over_client(client, resources)).await {
+            log::warn!("handover from the predecessor failed; this process goes on by itself: {e}");
+        }
+        resources.reclaim();
+        log::info!("handover from the predecessor ended");
+    }
+
+    /// Passes each client connection that the predecessor sends to `take_over`, until the predecessor closes
+    /// the connection. Ends with an error at a frame whose end is unknown: the bytes after its header must not
+    /// be read as further frames.
+    async fn receive_each_client(
+        &self,
+        mut take_over: impl FnMut(ReceivedClient),
+    ) -> Result<(), HandoverError> {
         loop {
             match self.receive_client().await {
-                Ok(Some(client)) => take_over_client(client, resources),
+                Ok(Some(client)) => take_over(client),
                 // This client is lost, for example because the limit on open files is reached. Further
                 // clients may follow.
-                Err(HandoverError::Frame(e)) if e.is_malformed() => {
+                Err(HandoverError::Frame(e)) if e.concerns_one_frame() => {
                     log::warn!("receiving a client connection from the predecessor failed: {e}");
                 }
-                Ok(None) | Err(_) => break,
+                Ok(None) => return Ok(()),
+                Err(e) => return Err(e),
             }
         }
-        resources.reclaim();
-        log::info!("handover from the predecessor ended");
     }
 
     async fn receive_client(&self) -> Result<Option<ReceivedClient>, HandoverError> {
@@ -222,3 +235,6 @@
         Err(e) => log::warn!("receiving a client connection from the predecessor failed: {e}"),
     }
 }
+
+#[cfg(test)]
+mod tests;
