Test both crossings of a lost primary's last response with its successor's claim

A response reports the role at the time when it was written, and a loss means silence, so such a response ends the loss; once a successor's claim is accepted, it is stale. The code does that; the comment said otherwise and is corrected. No decision changes.

--- a/core/src/failover/primary_tracker.rs
+++ b/core/src/failover/primary_tracker.rs
@@ -130,8 +130,8 @@
     /// Records that the current primary repeated its claim.
     fn confirm(&mut self, report: RoleReport) {
         if let Some(claim) = &mut self.claim {
-            // A report of the time before the loss does not show that the primary works again, unless its
-            // attempt was sent after the loss.
+            // A report from before the loss does not show that the primary works again. A response that
+            // arrives after the loss does, also if its attempt was sent before: the loss means silence.
             let is_fresh = claim.lost_at.is_none_or(|lost_at| {
                 report.sent_at.is_some_and(|sent_at| sent_at >= lost_at) || report.observed_at > lost_at
             });
--- a/core/src/failover/primary_tracker/tests.rs
+++ b/core/src/failover/primary_tracker/tests.rs
@@ -126,3 +126,25 @@
     tracker.restore_epoch(9);
     assert!(tracker.is_deposed(C) && tracker.epoch() == 9);
 }
+
+/// The two crossings of a lost primary's last response with the claim of its successor. A response reports the
+/// role at the time when it was written, so it ends a loss by silence, but not the epoch of a successor.
+#[test]
+fn a_response_in_flight_at_the_loss_counts_only_until_the_successor_claims() {
+    let lost_primary = || {
+        let mut tracker = PrimaryTracker::default();
+        tracker.record_claim(claim(A, 10.0, Some(9.0)));
+        tracker.mark_lost(15.0);
+        tracker
+    };
+    let mut response_first = lost_primary();
+    assert_eq!(response_first.record_claim(claim(A, 15.1, Some(14.0))), ClaimVerdict::Confirmed);
+    assert!(response_first.has_live_primary());
+    assert_eq!(response_first.record_claim(claim(B, 15.2, Some(15.15))), ClaimVerdict::Accepted);
+    let mut successor_first = lost_primary();
+    assert_eq!(successor_first.record_claim(claim(B, 15.1, Some(15.05))), ClaimVerdict::Accepted);
+    assert_eq!(successor_first.record_claim(claim(A, 15.2, Some(14.0))), ClaimVerdict::Stale);
+    for tracker in [response_first, successor_first] {
+        assert_eq!((tracker.primary(), tracker.is_deposed(A)), (Some(B), true));
+    }
+}
