Check the price of gossip like the other prices

Cause: Prices::validate listed four of five prices. Change: it takes all of them from the struct by a pattern. Test: each_negative_price_is_rejected fails before (price 2).

--- a/core/src/api/settings.rs
+++ b/core/src/api/settings.rs
@@ -235,7 +235,8 @@
 
 impl Prices {
     fn validate(&self) -> Result<(), SettingsError> {
-        let prices = [self.cross_zone, self.health_check, self.wasted_work, self.late_failure];
+        let Self { cross_zone, health_check, gossip, wasted_work, late_failure } = *self;
+        let prices = [cross_zone, health_check, gossip, wasted_work, late_failure];
         prices.into_iter().try_for_each(|price| check_range("a price", price, 0.0, f64::MAX))
     }
 }
--- a/core/tests/routing/endpoints.rs
+++ b/core/tests/routing/endpoints.rs
@@ -133,6 +133,26 @@
     assert!(matches!(RoutingEngine::new(not_a_number, 0).err(), Some(SettingsError::OutOfRange(_))));
 }
 
+/// Guards against a price that is left out of the check.
+#[test]
+fn each_negative_price_is_rejected() {
+    let with_price = |set: fn(&mut Prices)| {
+        let mut settings = settings();
+        set(&mut settings.prices);
+        RoutingEngine::new(settings, 0).err()
+    };
+    let setters: [fn(&mut Prices); 5] = [
+        |prices| prices.cross_zone = -1.0,
+        |prices| prices.health_check = -1.0,
+        |prices| prices.gossip = -1.0,
+        |prices| prices.wasted_work = -1.0,
+        |prices| prices.late_failure = -1.0,
+    ];
+    for (index, set) in setters.into_iter().enumerate() {
+        assert_eq!(with_price(set), Some(SettingsError::OutOfRange("a price")), "price {index}");
+    }
+}
+
 #[test]
 fn gossip_does_not_divert_a_write_from_the_primary() {
     let mut settings = large_fleet_settings();
