Reload a configuration without name or limits if the one in force has none either

Cause: parse_replacement asked for both keys whatever the configuration in force had. Change: it asks for those that it has, as for the settings, so that a file written in part is still rejected. Test: a_configuration_without_name_and_limits_can_be_replaced_by_itself fails before (the replacement was rejected).

--- a/src/settings/config.rs
+++ b/src/settings/config.rs
@@ -13,6 +13,9 @@
 /// Smallest number of open file descriptors with which a proxy process can work.
 pub const MIN_SOCKETS: usize = 64;
 
+/// Optional keys that a replacement of the file must have if the file has them.
+const KEPT_KEYS: [&str; 2] = ["name", "limits"];
+
 /// Limits on the resources of a proxy process.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(default)]
@@ -52,6 +55,9 @@
     #[serde(default, rename = "known")]
     pub cached_endpoints: Option<EndpointList>,
     settings: Value,
+    /// Keys among [`KEPT_KEYS`] that the file has.
+    #[serde(skip)]
+    kept_keys: Vec<&'static str>,
 }
 
 /// A validated configuration file and the settings in it.
@@ -72,7 +78,9 @@
     ///
     /// Returns an error if the text is not a configuration, or if a value in it is invalid.
     pub fn parse(text: &str) -> Result<LoadedConfig, ConfigError> {
-        let config: Self = serde_json::from_str(text).map_err(ConfigError::Malformed)?;
+        let content: Value = serde_json::from_str(text).map_err(ConfigError::Malformed)?;
+        let mut config: Self = serde_json::from_str(text).map_err(ConfigError::Malformed)?;
+        config.kept_keys = KEPT_KEYS.into_iter().filter(|key| content.get(*key).is_some()).collect();
         let (settings, connections) = super::read(&config.settings)?;
         settings.validate()?;
         config.seed()?;
@@ -86,14 +94,15 @@
     ///
     /// # Errors
     ///
-    /// Returns an error as [`Self::parse`] does. Also returns an error if the text lacks `name`, `limits` or
-    /// a key of this configuration's settings, so that a file that is only partly written is rejected. Other
-    /// optional keys take effect only at the start and may be missing.
+    /// Returns an error as [`Self::parse`] does. Also returns an error if the text lacks a key of this
+    /// configuration's settings, or `name` or `limits` although this configuration has them, so that a file
+    /// that is only partly written is rejected. Other optional keys take effect only at the start and may be
+    /// missing.
     pub fn parse_replacement(&self, text: &str) -> Result<LoadedConfig, ConfigError> {
         let replacement: Value = serde_json::from_str(text).map_err(ConfigError::Malformed)?;
-        let missing_key = ["name", "limits"].into_iter().find(|key| replacement.get(*key).is_none());
+        let missing_key = self.kept_keys.iter().find(|key| replacement.get(**key).is_none());
         if let Some(key) = missing_key {
-            return Err(ConfigError::MissingKey { key: key.to_owned() });
+            return Err(ConfigError::MissingKey { key: (*key).to_owned() });
         }
         let settings = replacement.get("settings").unwrap_or(&Value::Null);
         match find_missing_key(&self.settings, settings, "settings") {
--- a/tests/configuration.rs
+++ b/tests/configuration.rs
@@ -4,6 +4,7 @@
 
 use std::io::Write;
 
+use pipittack::settings::{Config, ConfigError};
 use pipittack_testkit::scripted_discovery::{full_list, ScriptedDiscovery};
 use pipittack_testkit::scripted_server::{ScriptedServer, ServerRole};
 use rstest::rstest;
@@ -150,3 +151,24 @@
         assert!(child.wait().expect("the process exits").success());
     }
 }
+
+/// Guards against a configuration that is served and can then not be reloaded.
+#[test]
+fn a_configuration_without_name_and_limits_can_be_replaced_by_itself() {
+    let without = |keys: &[&str]| {
+        let mut content: serde_json::Value =
+            serde_json::from_str(include_str!("../examples/config.json")).expect("the example is JSON");
+        let object = content.as_object_mut().expect("the example is an object");
+        keys.iter().for_each(|key| drop(object.remove(*key).expect("the example has the key")));
+        content.to_string()
+    };
+    let parse = |text: &str| Config::parse(text).expect("the configuration can be served").config;
+    let shortest = without(&["name", "limits"]);
+    assert!(parse(&shortest).parse_replacement(&shortest).is_ok());
+    // A file that is only partly written is still rejected.
+    let whole = parse(&without(&[]));
+    for key in ["name", "limits"] {
+        let replaced = whole.parse_replacement(&without(&[key]));
+        assert!(matches!(replaced, Err(ConfigError::MissingKey { key: missing }) if missing == key));
+    }
+}
