Do not send a read to a former primary whose change of role arrived while the read waited

Cause of the fault that was found by reading for it: a read chosen for a primary may wait up to the connect timeout for a connection, and nothing looked at the server's role again before the first byte. Change: the driver keeps the last reported role of each server; such an attempt ends unsent if its server became known as a replica since. Test: a_read_at_a_primary_is_not_sent_once_the_server_reports_that_it_is_a_replica, both cases fail before.

--- a/src/net/driver/attempt_table.rs
+++ b/src/net/driver/attempt_table.rs
@@ -17,6 +17,9 @@
     pub(super) sent_at: Duration,
     /// Session of the write; `None` for a read, or if session tokens are not tracked.
     pub(super) writing_session: Option<Rc<str>>,
+    /// Whether the attempt is a read that needs fresh data, at a server that was not known to be a replica when
+    /// the engine chose it. As a replica, the server may be too far behind.
+    pub(super) assumes_primary: bool,
 }
 
 impl InFlightAttempt {
@@ -57,6 +60,10 @@
         self.0.insert(id, attempt);
     }
 
+    pub(super) fn get(&self, id: AttemptId) -> Option<&InFlightAttempt> {
+        self.0.get(&id)
+    }
+
     pub(super) fn remove(&mut self, id: AttemptId) -> Option<InFlightAttempt> {
         self.0.remove(&id)
     }
--- a/src/net/driver/endpoint_view.rs
+++ b/src/net/driver/endpoint_view.rs
@@ -1,8 +1,8 @@
-//! The driver's view of the servers: which servers may get attempts, and the last known replication positions
-//! of replicas.
+//! The driver's view of the servers: which servers may get attempts, which are known to be replicas, and the
+//! last known replication positions of replicas.
 //!
 //! The endpoint list says which servers exist and which of them drain. Operators take servers out of service.
-//! An update that removes a server drops the server's draining flag and position, so that this state does not
+//! An update that removes a server drops the server's draining flag, role and position, so that this state does not
 //! grow as servers are replaced. A server out of service stays recorded until operators return it to service.
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
@@ -22,6 +22,8 @@
     /// Replication positions on the proxy's clock; `None` for a server that is not known to be a replica, and
     /// for a replica whose position is unknown.
     positions: BTreeMap<ServerId, Option<Duration>>,
+    /// Servers whose last report of their role said that they are replicas.
+    replicas: BTreeSet<ServerId>,
 }
 
 impl EndpointView {
@@ -33,6 +35,7 @@
             draining: BTreeSet::new(),
             out_of_service: BTreeSet::new(),
             positions: BTreeMap::new(),
+            replicas: BTreeSet::new(),
         }
     }
 
@@ -47,6 +50,7 @@
         let removed = self.update_listed(entries, is_complete);
         for server in &removed {
             self.positions.remove(server);
+            self.replicas.remove(server);
             self.draining.remove(server);
         }
         removed
@@ -100,6 +104,22 @@
         let is_replica = status.primary == Some(false);
         let position = status.position.max(self.position(server));
         self.positions.insert(server, position.filter(|_| is_replica));
+        self.record_role(server, status.primary);
+    }
+
+    /// Records the role that a server reported: whether it is the primary, or `None` if the report does not
+    /// say so.
+    pub(super) fn record_role(&mut self, server: ServerId, is_primary: Option<bool>) {
+        match is_primary {
+            Some(true) => drop(self.replicas.remove(&server)),
+            Some(false) => drop(self.replicas.insert(server)),
+            None => {}
+        }
+    }
+
+    /// Returns whether a server is known to be a replica.
+    pub(super) fn is_replica(&self, server: ServerId) -> bool {
+        self.replicas.contains(&server)
     }
 
     /// Records a position from a state snapshot, unless this process has already recorded a status of the
--- a/src/net/driver/hot_restart.rs
+++ b/src/net/driver/hot_restart.rs
@@ -26,6 +26,8 @@
             let position = server.position.and_then(|secs| Duration::try_from_secs_f64(secs).ok());
             let position = position.filter(|at| *at <= self.0.clock.now());
             state.endpoints.restore_position(ServerId(server.server), position);
+            let reported_replica = server.replica_at.map(|_| false);
+            state.endpoints.record_role(ServerId(server.server), reported_replica);
         }
         state.events.push(Event::SnapshotReceived(Box::new(snapshot)));
         self.0.event_queued.notify_one();
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -163,7 +163,8 @@
 
     /// Returns whether an attempt may still be sent. The server side calls this just before it writes the
     /// first byte of the query. By that time the client may have disconnected, the request may be complete,
-    /// or the server may have been withdrawn.
+    /// the server may have been withdrawn, or a server that was chosen as the primary may have reported that
+    /// it is a replica.
     pub fn may_send_attempt(&self, attempt: AttemptId, server: ServerId) -> bool {
         let client = self.0.state.borrow().requests.get(attempt.request).map(|open| open.client.clone());
         let Some(client) = client else { return false };
@@ -171,7 +172,15 @@
             self.client_disconnected(attempt.request);
             return false;
         }
-        self.accepts_attempts(server)
+        self.accepts_attempts(server) && !self.lost_primary_role(attempt, server)
+    }
+
+    /// Returns whether an attempt needs fresh data and was sent to its server on the assumption that the
+    /// server is the primary, while the server is now known to be a replica.
+    fn lost_primary_role(&self, attempt: AttemptId, server: ServerId) -> bool {
+        let state = self.0.state.borrow();
+        let assumes_primary = state.attempts.get(attempt).is_some_and(|attempt| attempt.assumes_primary);
+        assumes_primary && state.endpoints.is_replica(server)
     }
 
     /// Returns whether the endpoint list and the operators admit new attempts to a server.
--- a/src/net/driver/request_rules.rs
+++ b/src/net/driver/request_rules.rs
@@ -39,6 +39,15 @@
         }
     }
 
+    /// Returns whether a request of this class is a read that a replica can serve only if its data is fresh
+    /// enough.
+    pub(super) fn needs_fresh_data(&self, class: ClassId) -> bool {
+        match self.consistency(class) {
+            Some(Consistency::BoundedStaleness(_) | Consistency::Causal | Consistency::Linearizable) => true,
+            Some(Consistency::Write | Consistency::Eventual) | None => false,
+        }
+    }
+
     /// Returns the session of a write; `None` for a read, or if session tokens are not tracked.
     pub(super) fn writing_session(&self, request: &NewRequest) -> Option<Rc<str>> {
         let is_write = self.consistency(request.class) == Some(Consistency::Write);
--- a/src/net/driver/step.rs
+++ b/src/net/driver/step.rs
@@ -145,11 +145,13 @@
             deadline: self.0.clock.to_instant(deadline),
             staleness_deadline: staleness_deadline.map(|until| self.0.clock.to_instant(until)),
         };
+        let is_replica = state.endpoints.is_replica(server);
         let attempt = InFlightAttempt {
             server,
             class: open.class,
             sent_at: now,
             writing_session: open.writing_session.clone(),
+            assumes_primary: !is_replica && state.rules.needs_fresh_data(open.class),
         };
         state.attempts.insert(id, attempt);
         self.send_command(ServerCommand::StartAttempt(command));
--- a/tests/driver.rs
+++ b/tests/driver.rs
@@ -333,3 +333,44 @@
     tokio::time::advance(ms(700)).await;
     assert!(driver.snapshot().session_floor < Some(driver.clock().now().as_secs_f64()));
 }
+
+/// Submits reads of a class until the driver commands an attempt at server 1, the primary.
+fn read_attempt_at_primary(
+    driver: &TestDriver,
+    commands: &mut TestCommands,
+    class: ClassId,
+) -> AttemptCommand<&'static str> {
+    for _ in 0..100 {
+        let written_at = driver.clock().now();
+        let last_write_unix_ms = Some(driver.clock().zero_unix_ms() + written_at.as_secs_f64() * 1e3);
+        let read = NewRequest { session: Some("s".into()), last_write_unix_ms, ..new_request(class) };
+        // The receiver is dropped: the response is not part of the test.
+        drop(driver.submit(read, "query"));
+        driver.step();
+        while let Some(attempt) = next_attempt(commands) {
+            if attempt.server == ServerId(1) {
+                return attempt;
+            }
+        }
+        std::thread::sleep(ms(5));
+    }
+    panic!("the driver commands no attempt at the primary");
+}
+
+/// Guards against a stale read: an attempt that was decided while the server counted as the primary may wait for
+/// a connection until the server has reported that it is a replica.
+#[rstest::rstest]
+#[case::session_read(SESSION_READ)]
+#[case::bounded_read(BOUNDED_READ)]
+fn a_read_at_a_primary_is_not_sent_once_the_server_reports_that_it_is_a_replica(#[case] class: ClassId) {
+    let (driver, mut commands) = start_driver(Clock::start());
+    let read = read_attempt_at_primary(&driver, &mut commands, class);
+    assert!(driver.may_send_attempt(read.id, read.server));
+    driver.submit(new_request(KEYED_WRITE), "query");
+    driver.step();
+    let write = next_attempt(&mut commands).expect("the driver commands an attempt");
+    assert_eq!(write.server, ServerId(1));
+    assert!(driver.may_send_attempt(write.id, write.server));
+    driver.attempt_ended(write.id, attempt_result(Outcome::Misdirected, false, ms(0)));
+    assert!(!driver.may_send_attempt(read.id, read.server));
+}
