Count starts in progress in the trial, and let an upgrade end only the process that it found

Cause: the trial. A restart did not see the successor that an upgrade was starting and started a process too; the upgrade then killed all but the newest. Change: starts in progress count, and an upgrade ends its predecessor by start index, which excuses no request, as before. Test: a_process_that_is_being_started_counts_as_a_process.

--- a/testkit/src/fleet/process_trial/lifecycle.rs
+++ b/testkit/src/fleet/process_trial/lifecycle.rs
@@ -1,5 +1,6 @@
 //! Starts, hot restarts, graceful shutdowns and kills of proxy processes.
 
+use std::io;
 use std::time::Duration;
 
 use rand::Rng;
@@ -21,27 +22,37 @@
 /// Maximum memory of a process in MiB, in its configuration.
 const MAX_MEMORY_MB: u32 = 64;
 
-/// Starts a process of a proxy. If that fails, records a violation.
-pub async fn start(shared: &SharedTrial, proxy: usize) {
+/// Starts a process of a proxy, and returns its start index. If that fails, records a violation.
+pub async fn start(shared: &SharedTrial, proxy: usize) -> Option<usize> {
     let (config, start_index) = shared.with(|trial| {
         let start_index = trial.fleet.record_start(trial.clock.now());
         (process_config(trial, proxy), start_index)
     });
-    let prepared = shared.with(|trial| trial.processes.prepare_start(proxy, config));
-    let started = match prepared {
-        Ok(prepared) => prepared.spawn(start_index).await,
-        Err(error) => Err(error),
-    };
-    shared.with(|trial| match started {
-        Ok(process) => trial.processes.add_process(proxy, process),
-        Err(error) => {
-            let violation = format!("trial error: failed to start a process of proxy {proxy}: {error}");
-            trial.fleet.report.violations.push(violation);
-        }
-    });
+    let result = start_process(shared, proxy, config, start_index).await;
+    if let Err(error) = &result {
+        let violation = format!("trial error: failed to start a process of proxy {proxy}: {error}");
+        shared.with(|trial| trial.fleet.report.violations.push(violation));
+    }
     if !shared.with(|trial| trial.balancer_targets[proxy].admitted) {
         spawn_local(clients::admit_when_ready(shared.clone(), proxy));
     }
+    result.ok().map(|()| start_index)
+}
+
+/// Starts a process of a proxy with a configuration, and adds it to the process table.
+async fn start_process(
+    shared: &SharedTrial,
+    proxy: usize,
+    config: String,
+    start_index: usize,
+) -> io::Result<()> {
+    let prepared = shared.with(|trial| trial.processes.prepare_start(proxy, config))?;
+    let started = prepared.spawn(start_index).await;
+    shared.with(|trial| {
+        trial.processes.start_ended(proxy);
+        trial.processes.add_process(proxy, started?);
+        Ok(())
+    })
 }
 
 /// Returns the text of the configuration file for a new process.
@@ -66,7 +77,8 @@
     .to_string()
 }
 
-/// Kills the processes of a proxy, and starts a new one after `downtime_s` seconds.
+/// Kills the processes of a proxy, and starts a new one after `downtime_s` seconds unless an upgrade has
+/// started one meanwhile.
 pub async fn kill(shared: SharedTrial, proxy: usize, downtime_s: f64) {
     let clock = shared.clock();
     shared.with(|trial| {
@@ -75,7 +87,9 @@
     });
     clock.sleep_until(clock.now() + downtime_s).await;
     shared.with(|trial| trial.balancer_targets[proxy].admitted = false);
-    start(&shared, proxy).await;
+    if shared.with(|trial| trial.processes.process_count(proxy)) == 0 {
+        start(&shared, proxy).await;
+    }
 }
 
 /// Shuts down the processes of a proxy gracefully, and starts a new one. `downtime_s` is the time in seconds
@@ -109,12 +123,12 @@
         trial.processes.start_index(proxy).filter(|_| has_one_process)
     });
     let Some(predecessor) = predecessor else { return };
-    start(&shared, proxy).await;
-    let Some(address) = shared.with(|trial| trial.processes.successor_admin_address(proxy)) else { return };
-    let successor = shared.with(|trial| trial.processes.start_index(proxy));
-    while !admin::is_ready(address).await {
-        if shared.with(|trial| trial.processes.start_index(proxy)) != successor {
-            return; // the trial has killed the successor
+    let Some(successor) = start(&shared, proxy).await else { return };
+    loop {
+        let address = shared.with(|trial| trial.processes.admin_address(proxy, successor));
+        let Some(address) = address else { return }; // the trial has killed the successor
+        if admin::is_ready(address).await {
+            break;
         }
         if clock.now() > started_at + READY_TIMEOUT_S {
             let violation = format!("proxy {proxy}: the successor was not ready after {READY_TIMEOUT_S} s");
@@ -131,5 +145,5 @@
         }
         tokio::time::sleep(CHECK_INTERVAL).await;
     }
-    shared.with(|trial| trial.processes.kill_predecessors(proxy));
+    shared.with(|trial| trial.processes.end_process(proxy, predecessor));
 }
--- a/testkit/src/fleet/process_trial/process_table.rs
+++ b/testkit/src/fleet/process_trial/process_table.rs
@@ -102,6 +102,8 @@
     processes: Vec<Process>,
     /// Number of starts so far. It numbers the log files.
     start_count: u32,
+    /// Number of processes that are being started and are not in `processes` yet.
+    starting_count: u32,
     last_killed_at: Option<f64>,
     /// End in seconds of the last pause of the processes, or infinity during a pause. `None` before the first
     /// pause.
@@ -109,12 +111,6 @@
 }
 
 impl Proxy {
-    /// Kills all processes except for the newest `kept_count` ones.
-    fn kill_all_but_newest(&mut self, kept_count: usize) {
-        let killed_count = self.processes.len().saturating_sub(kept_count);
-        self.processes.drain(..killed_count);
-    }
-
     fn send_signal(&self, signal: Signal) {
         for process in &self.processes {
             process.child.send_signal(signal);
@@ -145,6 +141,7 @@
                 listen_address,
                 processes: Vec::new(),
                 start_count: 0,
+                starting_count: 0,
                 last_killed_at: None,
                 paused_until: None,
             });
@@ -181,15 +178,16 @@
             .collect()
     }
 
-    /// Returns the address of the admin API of a proxy's successor. Returns `None` if the proxy has no
-    /// successor.
-    pub fn successor_admin_address(&self, proxy: usize) -> Option<SocketAddr> {
-        self.proxies[proxy].processes.get(1).map(|process| process.admin_address)
+    /// Returns the address of the admin API of a process. Returns `None` if the process has been killed.
+    pub fn admin_address(&self, proxy: usize, start_index: usize) -> Option<SocketAddr> {
+        let mut processes = self.proxies[proxy].processes.iter();
+        processes.find(|process| process.start_index == start_index).map(|process| process.admin_address)
     }
 
-    /// Returns the number of processes of a proxy.
+    /// Returns the number of processes of a proxy, including those that are being started.
     pub fn process_count(&self, proxy: usize) -> usize {
-        self.proxies[proxy].processes.len()
+        let proxy = &self.proxies[proxy];
+        proxy.processes.len() + proxy.starting_count as usize
     }
 
     /// Returns the ids of the processes of a proxy, the newest last.
@@ -214,12 +212,13 @@
     }
 
     /// Assigns an admin address and a log file to a new process. `config` is the text of its configuration
-    /// file.
+    /// file. The caller calls [`Self::start_ended`] once the process has been started or its start has failed.
     pub fn prepare_start(&mut self, proxy: usize, config: String) -> io::Result<PreparedStart> {
         let admin_address = self.free_address()?;
         let proxy = &mut self.proxies[proxy];
         let log_file = proxy.folder.join(format!("log-{}.txt", proxy.start_count));
         proxy.start_count += 1;
+        proxy.starting_count += 1;
         let (program, folder) = (self.paths.program.clone(), proxy.folder.clone());
         Ok(PreparedStart { program, folder, config, log_file, admin_address })
     }
@@ -229,6 +228,11 @@
         self.proxies[proxy].processes.push(process);
     }
 
+    /// Records that a prepared start has ended, also if it has failed.
+    pub fn start_ended(&mut self, proxy: usize) {
+        self.proxies[proxy].starting_count -= 1;
+    }
+
     /// Pauses the processes of a proxy with `SIGSTOP`.
     pub fn pause(&mut self, proxy: usize) {
         self.proxies[proxy].send_signal(Signal::STOP);
@@ -287,9 +291,10 @@
         }
     }
 
-    /// Kills all processes of a proxy except for the newest one.
-    pub fn kill_predecessors(&mut self, proxy: usize) {
-        self.proxies[proxy].kill_all_but_newest(1);
+    /// Kills a process of a proxy whose time to shut down is over. Does not count as a kill of the proxy: the
+    /// process had to answer all that it had read.
+    pub fn end_process(&mut self, proxy: usize, start_index: usize) {
+        self.proxies[proxy].processes.retain(|process| process.start_index != start_index);
     }
 
     /// Kills the processes of all proxies. Returns a description of each process that had already exited.
@@ -301,7 +306,7 @@
                     unexpected_exits.push(describe_exit(proxy_index, status));
                 }
             }
-            proxy.kill_all_but_newest(0);
+            proxy.processes.clear();
         }
         unexpected_exits
     }
--- a/testkit/src/fleet/process_trial/process_table/tests.rs
+++ b/testkit/src/fleet/process_trial/process_table/tests.rs
@@ -22,11 +22,16 @@
         ProcessTable::new(TrialPaths { program: program.into(), folder }, 1).expect("the folder is writable");
     let prepared = table.prepare_start(0, String::new()).expect("a port is free");
     let child = prepared.spawn_child().expect("the program can be started");
-    let process = Process { child, admin_address: prepared.admin_address, start_index: 0 };
-    table.add_process(0, process);
+    add_process(&mut table, Process { child, admin_address: prepared.admin_address, start_index: 0 });
     table
 }
 
+/// Adds a process whose start was prepared.
+fn add_process(table: &mut ProcessTable, process: Process) {
+    table.start_ended(0);
+    table.add_process(0, process);
+}
+
 /// Guards against a kill that excuses the requests of a process that had ended by itself before.
 #[test]
 fn only_the_kill_of_a_running_process_counts_as_a_kill() {
@@ -48,7 +53,19 @@
     let prepared = table.prepare_start(0, String::new()).expect("a port is free");
     let child = prepared.spawn_child().expect("the program can be started");
     let signalled = table.shut_down(0);
-    table.add_process(0, Process { child, admin_address: prepared.admin_address, start_index: 1 });
+    add_process(&mut table, Process { child, admin_address: prepared.admin_address, start_index: 1 });
     table.kill_processes(0, &signalled, 5.0);
     assert_eq!((table.process_count(0), table.start_index(0)), (1, Some(1)));
 }
+
+/// Guards against a restart that starts a process while an upgrade starts one: two processes would then serve,
+/// and the upgrade would kill the older one as its predecessor.
+#[test]
+fn a_process_that_is_being_started_counts_as_a_process() {
+    let mut table = table_with_process("true", "starting");
+    table.prepare_start(0, String::new()).expect("a port is free");
+    table.kill(0, 5.0);
+    assert_eq!(table.process_count(0), 1);
+    table.start_ended(0);
+    assert_eq!(table.process_count(0), 0);
+}
