Reap killed processes off the trial's thread

What was seen: in failing runs of the sessions trial beside load, pauses of the trial's own thread of up to 2.0 s, of which 0.4 to 1.2 s were spent neither running nor waiting for a processor; all servers, clients and the discovery service pause with it. Suspected cause: OwnedChild waits for the killed process in its drop, which takes long on a busy machine; that this makes those pauses is not shown. Change: a thread of its own waits. No check changes.

--- a/testkit/src/fleet/process_trial/process_table.rs
+++ b/testkit/src/fleet/process_trial/process_table.rs
@@ -1,7 +1,7 @@
 //! Child processes of a trial, by proxy.
 //!
 //! Owns all child processes with their folders and logs, and sends signals to them. A child process is killed
-//! and reaped when it is dropped.
+//! when it is dropped.
 
 use std::fs::File;
 use std::io;
@@ -10,7 +10,7 @@
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 
-use rustix::process::{kill_process, Pid, Signal};
+use rustix::process::{kill_process, waitpid, Pid, Signal, WaitOptions};
 use tokio::task::spawn_blocking;
 
 use super::TrialPaths;
@@ -19,19 +19,29 @@
 /// outgoing connections.
 const LISTEN_PORTS: Range<u32> = 10_000..32_000;
 
-/// Child process that is killed and reaped when it is dropped.
+/// Child process that is killed when it is dropped. A thread of its own reaps it: on a busy machine, a killed
+/// process takes long to end, and the trial's thread must not wait for it.
 pub struct OwnedChild(Child);
 
 impl Drop for OwnedChild {
     fn drop(&mut self) {
         let _ = self.0.kill();
-        let _ = self.0.wait();
+        if self.has_exited() {
+            return;
+        }
+        if let Some(pid) = self.pid() {
+            std::thread::spawn(move || waitpid(Some(pid), WaitOptions::empty()));
+        }
     }
 }
 
 impl OwnedChild {
+    fn pid(&self) -> Option<Pid> {
+        Pid::from_raw(self.0.id() as i32)
+    }
+
     fn send_signal(&self, signal: Signal) {
-        if let Some(pid) = Pid::from_raw(self.0.id() as i32) {
+        if let Some(pid) = self.pid() {
             let _ = kill_process(pid, signal);
         }
     }
