Shorten only the first window of calls to discovery, not those after a broken watch

Cause: shortened the window after a broken watch too, so that 100 instances called a service of 15 calls a second within 3.2 s. Change: the bound of 4.8 s and the wait for the backlog hold for the first call of a process alone; later windows are as on.

--- a/core/src/discovery_schedule.rs
+++ b/core/src/discovery_schedule.rs
@@ -40,9 +40,9 @@
 const MIN_QUEUED_SECS: f64 = 0.5;
 /// Upper bound of the window in a fleet of any size, in seconds.
 const MAX_WINDOW_SECS: f64 = 300.0;
-/// Upper bound of the window of an instance that has a list, as a share of the poll interval and of the
-/// notification deadline. The rest of that time is for the call, and for changes of the list from just before
-/// the start of the instance.
+/// Upper bound of the window of an instance that has a list, as a share of the poll interval and, for the
+/// first call, of the notification deadline. The rest of that time is for the call, and for changes of the
+/// list from just before the start of the instance.
 const MAX_WINDOW_SHARE: f64 = 0.8;
 /// Lower bound of the random factor of the time until a retry. The upper bound is higher by 1.
 const MIN_JITTER: f64 = 0.5;
@@ -73,8 +73,8 @@
     failures: i32,
     /// Whether the last window was too short for the calls of all instances.
     is_window_shortened: bool,
-    /// Time until which the service is assumed to work on the calls of the last shortened window, including
-    /// those that have timed out. 0 before the first such window.
+    /// Time until which the service is assumed to work on the first calls of all instances, including those
+    /// that have timed out. 0 before the first window.
     backlog_ends_at: f64,
     /// Rate that the service is assumed to sustain, in calls a second of all instances.
     rate: f64,
@@ -132,27 +132,19 @@
         if was_queued && !self.is_window_shortened {
             self.rate = (self.rate / RATE_DECREASE).max(MIN_RATE);
         }
-        let window = self.window(settings, was_queued);
+        let window = self.window(settings, secs(settings.rules.poll_interval), was_queued);
         // Divides by the highest jitter, so that the call always falls within the shortened window.
         let interval_secs = if window.is_shortened { window.secs / (MIN_JITTER + 1.0) } else { window.secs };
         let jitter = random();
         let delay_secs = self.backoff_secs(settings).max(interval_secs) * (MIN_JITTER + jitter);
         // A call that reaches the service before it has worked off the backlog would fail again.
         let backlog_secs = if was_queued { (self.backlog_ends_at - now).max(0.0) } else { 0.0 };
-        self.record_window(&window, now);
+        self.is_window_shortened = window.is_shortened;
         self.is_subscribed = false;
         self.failures = (self.failures + 1).min(MAX_FAILURES);
         self.next_call_at = Some(now + delay_secs.max(backlog_secs + interval_secs * jitter));
     }
 
-    /// Records a window that begins at `now`.
-    fn record_window(&mut self, window: &CallWindow, now: f64) {
-        self.is_window_shortened = window.is_shortened;
-        if window.is_shortened {
-            self.backlog_ends_at = now + window.needed_secs;
-        }
-    }
-
     fn backoff_secs(&self, settings: &Settings) -> f64 {
         let max_secs = (MAX_BACKOFF_SHARE * secs(settings.rules.poll_interval))
             .min(MAX_BACKOFF_DEADLINE_SHARE * NOTIFICATION_DEADLINE_SECS);
@@ -167,9 +159,12 @@
             return false;
         }
         if self.next_call_at.is_none() {
-            let window = self.window(settings, false);
+            // The list may have changed just before the start.
+            let limit_secs = secs(settings.rules.poll_interval).min(NOTIFICATION_DEADLINE_SECS);
+            let window = self.window(settings, limit_secs, false);
             self.next_call_at = Some(now + window.secs * random());
-            self.record_window(&window, now);
+            self.is_window_shortened = window.is_shortened;
+            self.backlog_ends_at = now + window.needed_secs;
         }
         let is_due = self.next_call_at.is_some_and(|next_call_at| now >= next_call_at);
         if is_due {
@@ -179,13 +174,14 @@
         is_due
     }
 
-    /// Returns the window for the next call. `was_queued` says whether the last call failed after a wait in
-    /// the queue. The window is then not shortened: a failed call still counts as a poll, so the next poll is
-    /// required later, and a shorter window would only cause more calls that fail and deliver no update.
-    fn window(&self, settings: &Settings, was_queued: bool) -> CallWindow {
+    /// Returns the window for the next call. An instance that has a list must make it within a share of
+    /// `limit_secs`. `was_queued` says whether the last call failed after a wait in the queue. The window is
+    /// then not shortened: a failed call still counts as a poll, so the next poll is required later, and a
+    /// shorter window would only cause more calls that fail and deliver no update.
+    fn window(&self, settings: &Settings, limit_secs: f64, was_queued: bool) -> CallWindow {
         let spread_calls = (f64::from(settings.instance_count) - MAX_BURST_CALLS).max(0.0);
         let needed_secs = (spread_calls / self.rate).min(MAX_WINDOW_SECS);
-        let max_secs = MAX_WINDOW_SHARE * secs(settings.rules.poll_interval).min(NOTIFICATION_DEADLINE_SECS);
+        let max_secs = MAX_WINDOW_SHARE * limit_secs;
         let is_shortened = self.has_list && !was_queued && needed_secs > max_secs;
         CallWindow { secs: if is_shortened { max_secs } else { needed_secs }, needed_secs, is_shortened }
     }
--- a/core/src/failover/primary_tracker/tests.rs
+++ b/core/src/failover/primary_tracker/tests.rs
@@ -127,8 +127,8 @@
     assert!(tracker.is_deposed(C) && tracker.epoch() == 9);
 }
 
-/// The two crossings of a lost primary's last response with the claim of its successor. A response reports the
-/// role at the time when it was written, so it ends a loss by silence, but not the epoch of a successor.
+/// The two crossings of a lost primary's last response with the claim of its successor. A response reports
+/// the role at the time when it was written, so it ends a loss by silence, but not the epoch of a successor.
 #[test]
 fn a_response_in_flight_at_the_loss_counts_only_until_the_successor_claims() {
     let lost_primary = || {
--- a/core/tests/action_hash/main.rs
+++ b/core/tests/action_hash/main.rs
@@ -141,7 +141,7 @@
     };
     vec![
         record(large_fleet, 0x4e01_f88c_b9f7_0036),
-        record(many_servers, 0xca29_5e95_a964_d403),
+        record(many_servers, 0xb414_9bb8_1617_5bfd),
         record(slow_servers, 0x2659_04e7_e5c6_e6ee),
         record(tracked_tokens, 0x7679_cc1e_053f_1f13),
         record(declined_reads, 0xddc4_c7c9_5f65_1f3a),
