Report a new connection that ends without an answer in the trial, as before

What was seen: nothing; found on rereading. Since, a connection that ended within 0.15 s of its statement counted as a close that crosses an unread request, also if it was new. PROTOCOL allows a close "between requests" alone, and before the trial reported such an end as "no answer". Change: UnansweredClose says whether the connection was new, and an end of a new one is a violation. The planted proxies of exchange/tests.rs now meet idle connections; their assertions are unchanged, and a new one closes a new connection.

--- a/testkit/src/fleet/process_trial/exchange.rs
+++ b/testkit/src/fleet/process_trial/exchange.rs
@@ -13,7 +13,7 @@
 use tokio::net::TcpStream;
 
 use super::super::fleet_model::START_S;
-use super::super::rule_checker::{AcceptedRequest, ConnectionEnd, UnansweredClose};
+use super::super::rule_checker::{AcceptedRequest, ConnectionEnd, ConnectionUse, UnansweredClose};
 use super::super::workload::ClientRequest;
 use super::message_stream::{error_field, MessageStream};
 use super::state::SharedTrial;
@@ -86,7 +86,7 @@
     statement: &Statement,
 ) -> Result<ClientResponse, ExchangeError> {
     if let Some(stream) = take_idle_connection(shared, request.proxy) {
-        match exchange_on(shared, stream, request, statement).await {
+        match exchange_on(shared, stream, request, statement, ConnectionUse::Reused).await {
             Err(ExchangeError::ClosedBeforeRequest) => {}
             Err(ExchangeError::ClosedBeforeResponse) if may_resend(shared, request) => {}
             result => return result,
@@ -100,7 +100,7 @@
             start.first_request.get_or_insert(now - START_S - start.started_at);
         }
     });
-    exchange_on(shared, stream, request, statement).await
+    exchange_on(shared, stream, request, statement, ConnectionUse::New).await
 }
 
 /// Takes an idle connection to a proxy that the proxy has not closed. Drops those that it has closed.
@@ -125,6 +125,7 @@
     mut stream: MessageStream,
     request: &ClientRequest,
     statement: &Statement,
+    connection: ConnectionUse,
 ) -> Result<ClientResponse, ExchangeError> {
     let clock = shared.clock();
     stream.write_all(&query(&statement.text)).await.map_err(|_| ExchangeError::ClosedBeforeRequest)?;
@@ -157,7 +158,17 @@
             Ok((b'Z', _)) if response.is_some() => break,
             Ok(_) => {}
             Err(error) if response.is_none() && stream.is_empty() => {
-                record_unanswered_close(shared, request, statement.id, written_at, &error);
+                let end = connection_end(&error);
+                shared.with(|trial| {
+                    let close = UnansweredClose {
+                        written_at,
+                        end,
+                        connection,
+                        process_killed: trial.processes.was_killed_since(request.proxy, written_at),
+                        process_paused: trial.processes.was_paused_since(request.proxy, written_at),
+                    };
+                    trial.fleet.checker.closed_without_answer(statement.id, close, clock.now());
+                });
                 return Err(ExchangeError::ClosedBeforeResponse);
             }
             Err(_) => return Err(ExchangeError::NoResponse),
@@ -172,24 +183,12 @@
     response.ok_or(ExchangeError::NoResponse)
 }
 
-/// Records that a connection ended without a response to the statement that was written to it.
-fn record_unanswered_close(
-    shared: &SharedTrial,
-    request: &ClientRequest,
-    id: u64,
-    written_at: f64,
-    error: &io::Error,
-) {
-    let is_orderly = error.kind() == io::ErrorKind::UnexpectedEof;
-    shared.with(|trial| {
-        let close = UnansweredClose {
-            written_at,
-            end: if is_orderly { ConnectionEnd::Closed } else { ConnectionEnd::Reset },
-            process_killed: trial.processes.was_killed_since(request.proxy, written_at),
-            process_paused: trial.processes.was_paused_since(request.proxy, written_at),
-        };
-        trial.fleet.checker.closed_without_answer(id, close, trial.clock.now());
-    });
+/// Returns how a connection ended whose read failed with this error.
+fn connection_end(error: &io::Error) -> ConnectionEnd {
+    match error.kind() {
+        io::ErrorKind::UnexpectedEof => ConnectionEnd::Closed,
+        _ => ConnectionEnd::Reset,
+    }
 }
 
 /// Records that a client received the response to a write. Later reads of the session must return the write.
--- a/testkit/src/fleet/process_trial/exchange/tests.rs
+++ b/testkit/src/fleet/process_trial/exchange/tests.rs
@@ -102,15 +102,25 @@
     }
 }
 
-/// Sends a write to a proxy with a planted fault, `times` times with the same id, and returns the descriptions
-/// of the violations.
+/// Sends a write on an idle connection to a proxy with a planted fault, `times` times with the same id, and
+/// returns the descriptions of the violations.
 fn violations(name: &str, fault: ProxyFault, times: usize) -> Vec<String> {
+    violations_on(ConnectionUse::Reused, name, fault, times)
+}
+
+/// As [`violations`], on idle or on new connections.
+fn violations_on(connection: ConnectionUse, name: &str, fault: ProxyFault, times: usize) -> Vec<String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
     LocalSet::new().block_on(&runtime, async {
         let (shared, listener) = create_trial(name);
         spawn_local(run_proxy(shared.clone(), listener, fault));
         let (request, statement) = create_write(&shared);
         for _ in 0..times {
+            if connection == ConnectionUse::Reused {
+                let address = shared.with(|trial| trial.processes.listen_address(0));
+                let idle = connect(address).await.expect("the proxy accepts");
+                shared.with(|trial| trial.balancer_targets[0].idle.push(idle));
+            }
             let result = exchange(&shared, &request, &statement).await;
             assert_eq!(result.err(), Some(ExchangeError::ClosedBeforeResponse));
         }
@@ -124,6 +134,12 @@
     assert_eq!(violations("unread", ProxyFault::ClosesUnread, 2), Vec::<String>::new());
 }
 
+#[test]
+fn a_proxy_that_closes_a_new_connection_without_an_answer_is_reported() {
+    let found = violations_on(ConnectionUse::New, "new", ProxyFault::ClosesUnread, 1);
+    assert!(matches!(&found[..], [one] if one.starts_with("AnswerInTime")), "{found:?}");
+}
+
 #[test]
 fn a_proxy_that_closes_a_connection_whose_statement_it_has_read_is_reported() {
     let found = violations("held", ProxyFault::ClosesWithoutAttempt, 1);
--- a/testkit/src/fleet/rule_checker.rs
+++ b/testkit/src/fleet/rule_checker.rs
@@ -14,7 +14,8 @@
 use pipittack_core::api::{ClassId, Consistency, EndpointState, Idempotency, KeyScope, Outcome, Settings};
 
 pub use messages::{
-    AcceptedRequest, ConnectionEnd, FinalAnswer, ReplicaRead, Rule, TrialPause, UnansweredClose, Violation,
+    AcceptedRequest, ConnectionEnd, ConnectionUse, FinalAnswer, ReplicaRead, Rule, TrialPause,
+    UnansweredClose, Violation,
 };
 use request_state::{duplicate_execution_reason, PossibleExecution, RequestState};
 use trace::TraceEvent;
@@ -140,8 +141,9 @@
             return;
         }
         state.closed_unread = true;
-        let was_read = attempts > 0 || (open_s > MAX_CROSSING_S + TOLERANCE_S && !close.process_paused);
-        if was_read {
+        let is_late = open_s > MAX_CROSSING_S + TOLERANCE_S && !close.process_paused;
+        let must_be_answered = attempts > 0 || close.connection == ConnectionUse::New || is_late;
+        if must_be_answered {
             let description = format!(
                 "connection ended ({end:?}) without an answer, {open_s:.3} s after the statement was written \
                  and after {attempts} attempts"
--- a/testkit/src/fleet/rule_checker/messages.rs
+++ b/testkit/src/fleet/rule_checker/messages.rs
@@ -76,6 +76,16 @@
     Reset,
 }
 
+/// Whether a connection had carried a request before.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ConnectionUse {
+    /// The statement is the first on its connection. The connection is not between requests, so the proxy must
+    /// not close it.
+    New,
+    /// The connection was idle between two requests.
+    Reused,
+}
+
 /// The end of a connection before the first byte of the response to a request.
 #[derive(Debug, Clone, Copy)]
 pub struct UnansweredClose {
@@ -83,6 +93,8 @@
     pub written_at: f64,
     /// How the connection ended.
     pub end: ConnectionEnd,
+    /// Whether the connection was new.
+    pub connection: ConnectionUse,
     /// Whether a process of the proxy was killed since the statement was written.
     pub process_killed: bool,
     /// Whether a process of the proxy was paused since the statement was written.
--- a/testkit/src/fleet/rule_checker/tests.rs
+++ b/testkit/src/fleet/rule_checker/tests.rs
@@ -243,6 +243,7 @@
     let close = UnansweredClose {
         written_at: 1.0,
         end: ConnectionEnd::Closed,
+        connection: ConnectionUse::Reused,
         process_killed: false,
         process_paused: false,
     };
@@ -250,6 +251,8 @@
         |at: f64, close| move |checker: &mut RuleChecker| checker.closed_without_answer(1, close, at);
     assert_eq!(violations(READ, close_at(1.1, close)), []);
     assert_eq!(violations(READ, close_at(1.21, close)), [Rule::AnswerInTime]);
+    let new = UnansweredClose { connection: ConnectionUse::New, ..close };
+    assert_eq!(violations(READ, close_at(1.1, new)), [Rule::AnswerInTime]);
     let reset = UnansweredClose { end: ConnectionEnd::Reset, ..close };
     assert_eq!(violations(READ, close_at(1.21, reset)), [Rule::AnswerInTime]);
     let killed = UnansweredClose { process_killed: true, ..close };
