Review case 3: a planned restart drops pipelined requests that it has taken

At the end of a graceful shutdown the process closes connections on which requests that it has read still wait for their turn.

Nothing outside review/ changes.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
+CASE_FOLDER=$(cd "$(dirname "$0")" && pwd) || exit 2
+export CASE_FOLDER TROUBLE="${TROUBLE:-1}"
+cd "$CASE_FOLDER/../.." || exit 2
+program=target/review/case-$(basename "$CASE_FOLDER")
+[ -x "$program" ] && [ -x target/release/pipittack ] || { echo "not built"; exit 2; }
+timeout -k 2 118 "$program"
+code=$?
+[ "$code" -le 2 ] || code=2
+exit "$code"
