--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -1,33 +1,24 @@
-//! Case 2: bad clients send hundreds of commands at once, at full speed, and read what they are sent. The usual clients'
-//! requests must still get their final answers in time.
+//! Case 2: a session writes a value and reads it back soon after. The read must see the write.
 //!
-//! With TROUBLE=1 there are bad clients for 10 s, with TROUBLE=0 there are none.
+//! With TROUBLE=1 the values are longer than 64 KiB, with TROUBLE=0 they are short. Nothing else differs.
 
 #[path = "../lib/standins.rs"]
 mod standins;
 
 use standins::*;
-use std::io::{Read, Write};
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
-const BAD_CLIENTS: u64 = 24;
-/// Commands that a bad client sends at once.
-const COMMANDS: usize = 400;
-const USUAL_CLIENTS: u64 = 8;
-const SECONDS: u64 = 10;
-/// Up to half a second after its time an answer only earns nothing, and every time limit is 50 ms longer.
-const SLACK_MS: f64 = 550.0;
-
-struct Asked {
-    id: String,
-    d_ms: u64,
-    took_ms: f64,
-    answer: Answer,
-}
+/// Sessions that are played at the same time.
+const WORKERS: usize = 4;
+/// Sessions that each worker plays, one after another.
+const SESSIONS: usize = 25;
+/// Within the mean gaps of the site file (150 to 560 ms).
+const GAP_MS: u64 = 160;
+const LONG_VALUE_BYTES: usize = 200 * 1024;
+const SHORT_VALUE_BYTES: usize = 1024;
 
 fn main() {
     start_watchdog();
@@ -41,12 +32,31 @@
 
 fn run(record: &Record, state_dir: &StateDir) -> i32 {
     let trouble = with_trouble();
-    record.say(format!("TROUBLE={}: {} bad clients", u8::from(trouble), if trouble { BAD_CLIENTS } else { 0 }));
-    let set = ReplicaSet::start(3, SetOptions::default(), record);
-    let discovery = Discovery::start(entries_of(&set, 1, &["hall-north", "hall-south"]), record);
+    let value_bytes = if trouble { LONG_VALUE_BYTES } else { SHORT_VALUE_BYTES };
+    record.say(format!("TROUBLE={}: values of {value_bytes} bytes", u8::from(trouble)));
+    let set = ReplicaSet::start(
+        3,
+        SetOptions {
+            work_ms: [("issue", 45), ("own-quote", 75), ("cover-check", 75), ("browse", 45), ("report", 780)]
+                .map(|(class, ms)| (class.to_owned(), ms))
+                .into(),
+            default_work_ms: 45,
+            ship_ms: 6.0,
+            apply_speed: 2.1,
+            blocking_class: Some("report".to_owned()),
+            probes_report: true,
+            ..SetOptions::default()
+        },
+        record,
+    );
+    for session in 0..WORKERS * SESSIONS {
+        set.seed_value(&key_of(session), b"old value");
+    }
+    let discovery = Discovery::start(entries_of(&set, 1, &["kacyiru", "remera", "nyarutarama"]), record);
     let listen = free_address();
     let config = state_dir.0.join("config.json");
-    write_config(&config, listen, &discovery, &Limits { memory_mb: 96, sockets: 512 }, &windhoek_settings());
+    let limits = Limits { memory_mb: 96, sockets: 512 };
+    write_config(&config, listen, &discovery, &limits, &kigali_settings());
     let mut proxy =
         Proxy::start(&config, listen, discovery.address, &state_dir.0, &state_dir.0.join("proxy.log"));
     if !proxy.wait_ready(Duration::from_secs(30)) {
@@ -54,111 +64,97 @@
     }
     record.say("the proxy is ready");
     let stop = Flag::default();
-    let asked: Arc<Mutex<Vec<Asked>>> = Arc::default();
-    let usual: Vec<_> =
-        (0..USUAL_CLIENTS).map(|number| spawn_usual(listen, &stop, number, &asked, record)).collect();
-    sleep_ms(1500);
-    let stop_bad = Flag::default();
-    let bad_answers = Arc::new(AtomicU64::new(0));
-    if trouble {
-        record.say("the bad clients begin");
-        (0..BAD_CLIENTS).for_each(|_| spawn_bad(listen, &stop_bad, &bad_answers));
-    }
-    for _ in 0..SECONDS * 5 {
-        sleep_ms(200);
-        if !proxy.is_running() {
-            record.say("the proxy has ended by itself");
-            return BROKEN;
-        }
-    }
+    let mut load: Vec<_> = (0..2).map(|_| spawn_load(listen, &stop, "browse", 750, 60)).collect();
+    load.extend((0..2).map(|n| spawn_load(listen, &stop, "report", 8000, 150 + 200 * n)));
+    sleep_ms(2500);
+
+    let workers: Vec<_> = (0..WORKERS)
+        .map(|worker| {
+            let (set, record) = (set.clone(), record.clone());
+            thread::spawn(move || {
+                sleep_ms(60 * worker as u64);
+                (worker * SESSIONS..(worker + 1) * SESSIONS)
+                    .filter_map(|session| play_session(session, listen, value_bytes, &set, &record))
+                    .collect::<Vec<bool>>()
+            })
+        })
+        .collect();
+    let verdicts: Vec<bool> = workers.into_iter().filter_map(|worker| worker.join().ok()).flatten().collect();
+    let judged = verdicts.len();
+    let stale = verdicts.iter().filter(|is_stale| **is_stale).count();
     stop.store(true, Ordering::SeqCst);
-    stop_bad.store(true, Ordering::SeqCst);
-    record.say("the bad clients end");
-    usual.into_iter().for_each(|client| drop(client.join()));
-    let asked = asked.lock().unwrap();
-    let is_lost = |asked: &&Asked| {
-        let is_answer = matches!(asked.answer, Answer::Served(_) | Answer::Refused(_) | Answer::Failed(_));
-        !is_answer || asked.took_ms > asked.d_ms as f64 + SLACK_MS
-    };
-    let lost: Vec<_> = asked.iter().filter(is_lost).collect();
-    for request in lost.iter().take(10) {
-        record.say(format!(
-            "LOST: {}: the client waits {} ms; after {:.0} ms: {}",
-            request.id,
-            request.d_ms,
-            request.took_ms,
-            request.answer.brief()
-        ));
+    load.into_iter().for_each(|thread| drop(thread.join()));
+    if !proxy.is_running() {
+        record.say("the proxy has ended by itself");
+        return BROKEN;
     }
-    record.say(format!(
-        "the usual clients sent {} requests, {} of them got no answer within their time and {SLACK_MS} ms; the bad \
-         clients got {} bytes",
-        asked.len(),
-        lost.len(),
-        bad_answers.load(Ordering::SeqCst)
-    ));
-    match (asked.len(), lost.len()) {
-        (0..20, _) => NOT_RUN,
+    record.say(format!("{judged} session reads were served, {stale} of them stale"));
+    match (judged, stale) {
+        (0, _) => NOT_RUN,
         (_, 0) => HELD,
         _ => BROKEN,
     }
 }
 
-/// A usual client: one request after another on a connection that it keeps.
-fn spawn_usual(
+/// Writes a value of a session and reads it back. Returns whether the read was stale; `None` if the write or the read was
+/// not served.
+fn play_session(
+    session: usize,
     listen: SocketAddr,
-    stop: &Flag,
-    number: u64,
-    asked: &Arc<Mutex<Vec<Asked>>>,
+    value_bytes: usize,
+    set: &ReplicaSet,
     record: &Record,
-) -> thread::JoinHandle<()> {
-    let (stop, asked, record) = (stop.clone(), asked.clone(), record.clone());
-    thread::spawn(move || {
-        let Ok(mut client) = Client::connect(listen) else { return };
-        while !stop.load(Ordering::SeqCst) {
-            let id = new_id();
-            let key = format!("licence{number}");
-            let (text, d_ms) = match number % 4 {
-                0 => (write_text(&key, b"used", &id, "usage-write", 1300), 1300),
-                1 => (read_text(&key, &id, "own-changes", 1500, ""), 1500),
-                _ => (read_text(&key, &id, "font-lookup", 1200, ""), 1200),
-            };
-            let sent_at = unix_ms();
-            let answer = client.ask(&text, Duration::from_secs(15));
-            let took_ms = unix_ms() - sent_at;
-            record.line(format!("client {number}: {id}: {} after {took_ms:.0} ms", answer.brief()));
-            let is_end = matches!(answer, Answer::Closed(_) | Answer::None);
-            asked.lock().unwrap().push(Asked { id, d_ms, took_ms, answer });
-            if is_end {
-                return;
-            }
-            sleep_ms(100);
-        }
-    })
+) -> Option<bool> {
+    let key = key_of(session);
+    let mut value = format!("new value of {key}").into_bytes();
+    value.resize(value_bytes, b'.');
+    let mut client = Client::connect(listen).ok()?;
+    let write_id = new_id();
+    let written = client.ask(&write_text(&key, &value, &write_id, "issue", 3000), Duration::from_secs(6));
+    record.line(format!("client: write {write_id} of {key}: {}", written.brief()));
+    if written != Answer::Served(value.clone()) {
+        record.say(format!("the write {write_id} was not served, so its session is left out: {}", written.brief()));
+        return None;
+    }
+    sleep_ms(GAP_MS);
+    let read_id = new_id();
+    let answer = client.ask(&read_text(&key, &read_id, "own-quote", 1500, ""), Duration::from_secs(4));
+    record.line(format!("client: read {read_id} of {key}: {}", answer.brief()));
+    let Answer::Served(seen) = answer else { return None };
+    if seen == value {
+        return Some(false);
+    }
+    let commit = set.commits.lock().unwrap().get(&write_id).copied().unwrap_or(0.0);
+    let run = set.reads.lock().unwrap().get(&read_id).cloned()?;
+    record.say(format!(
+        "STALE: {read_id} of session {key} was answered by {}, which has never been the primary, from data of {:.0} ms \
+         before the session's own write {write_id}, {GAP_MS} ms after that was answered: {:?}",
+        set.name(run.server),
+        commit - run.position,
+        String::from_utf8_lossy(&seen[..seen.len().min(24)])
+    ));
+    Some(true)
 }
 
-/// A bad client: it sends commands of a class that does not exist, at full speed, and reads what it is sent.
-fn spawn_bad(listen: SocketAddr, stop: &Flag, bytes_read: &Arc<AtomicU64>) {
-    let (stop, bytes_read) = (stop.clone(), bytes_read.clone());
+fn key_of(session: usize) -> String {
+    format!("member{session:02}")
+}
+
+/// Other clients: one request after another.
+fn spawn_load(listen: SocketAddr, stop: &Flag, class: &'static str, d_ms: u64, pause_ms: u64) -> thread::JoinHandle<()> {
+    let stop = stop.clone();
     thread::spawn(move || {
+        let mut client = None;
         while !stop.load(Ordering::SeqCst) {
-            let Ok(mut client) = Client::connect(listen) else {
-                sleep_ms(50);
-                continue;
-            };
-            let Ok(mut reading) = client.stream.try_clone() else { return };
-            let bytes_read = bytes_read.clone();
-            thread::spawn(move || {
-                let mut buffer = [0; 65536];
-                let _ = reading.set_read_timeout(None);
-                while let Ok(count @ 1..) = reading.read(&mut buffer) {
-                    bytes_read.fetch_add(count as u64, Ordering::SeqCst);
-                }
-            });
-            let one = query_message(&read_text("x", &new_id(), "no-such-class", 500, ""));
-            let commands = one.repeat(COMMANDS);
-            while !stop.load(Ordering::SeqCst) && client.stream.write_all(&commands).is_ok() {}
-            client.close();
+            if client.is_none() {
+                client = Client::connect(listen).ok();
+            }
+            let Some(connected) = client.as_mut() else { return };
+            let answer = connected.ask(&read_text("other", &new_id(), class, d_ms, ""), Duration::from_millis(d_ms + 600));
+            if matches!(answer, Answer::Closed(_) | Answer::None) {
+                client = None;
+            }
+            sleep_ms(pause_ms);
         }
-    });
+    })
 }
--- a/review/lib/standins.rs
+++ b/review/lib/standins.rs
@@ -202,6 +202,12 @@
     pub prefix: &'static str,
     /// Every how many answers to a client's request one is spoilt: it begins and never ends. 0: none.
     pub endless_every: u64,
+    /// Every how many writes one gets noise for its answer, after it has run. 0: none.
+    pub noise_every: u64,
+    /// Prefix of the keys whose first write has its connection reset after it has run. Empty: none.
+    pub resets_first: &'static str,
+    /// Time for which the set remembers the ids of writes and drops their repeats, in ms. 0: it remembers none.
+    pub remembers_ms: f64,
 }
 
 impl Default for SetOptions {
@@ -215,6 +221,9 @@
             probes_report: false,
             prefix: "db",
             endless_every: 0,
+            noise_every: 0,
+            resets_first: "",
+            remembers_ms: 0.0,
         }
     }
 }
@@ -255,6 +264,9 @@
     pub arrivals: Arc<Mutex<Vec<(f64, usize, String, String)>>>,
     pub answers: Arc<AtomicU64>,
     pub spoilt: Arc<AtomicU64>,
+    /// For each write that arrived at a primary: times at which its last byte arrived.
+    pub write_arrivals: Arc<Mutex<HashMap<String, Vec<f64>>>>,
+    writes: Arc<AtomicU64>,
 }
 
 #[derive(Debug, Clone)]
@@ -293,6 +305,8 @@
             arrivals: Arc::default(),
             answers: Arc::default(),
             spoilt: Arc::default(),
+            write_arrivals: Arc::default(),
+            writes: Arc::default(),
         };
         for (index, listener) in listeners.into_iter().enumerate() {
             let set = set.clone();
@@ -401,10 +415,34 @@
             if is_statement && self.is_next_spoilt() {
                 return self.write_endless_answer(index, &mut stream);
             }
+            let ran_write = answer.windows(8).any(|bytes| bytes == b"INSERT 0");
+            if ran_write && !self.options.resets_first.is_empty() && self.is_first_write(&text) {
+                self.record.line(format!("{} breaks the connection in place of the answer", self.name(index)));
+                return Ok(());
+            }
+            if ran_write && self.is_next_noise() {
+                self.record.line(format!("{} spoils the answer: noise", self.name(index)));
+                stream.write_all(&[0xe7; 600])?;
+                continue;
+            }
             stream.write_all(&answer)?;
         }
     }
 
+    /// Returns whether the text is the first write, by this id, of a key with the prefix `resets_first`.
+    fn is_first_write(&self, text: &str) -> bool {
+        let Some(statement) = parse_statement(text).filter(|statement| statement.is_write) else { return false };
+        statement.key.starts_with(self.options.resets_first)
+            && self.write_arrivals.lock().unwrap().get(&statement.id).is_some_and(|arrivals| arrivals.len() == 1)
+    }
+
+    fn is_next_noise(&self) -> bool {
+        let number = self.writes.fetch_add(1, Ordering::SeqCst) + 1;
+        let is_noise = self.options.noise_every > 0 && number % self.options.noise_every == 0;
+        self.spoilt.fetch_add(u64::from(is_noise), Ordering::SeqCst);
+        is_noise
+    }
+
     fn is_next_spoilt(&self) -> bool {
         let number = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
         self.options.endless_every > 0 && number % self.options.endless_every == 0
@@ -484,6 +522,25 @@
 
     fn answer_write(&self, index: usize, statement: &Statement, out: &mut Vec<u8>) {
         let name = self.name(index).to_owned();
+        let arrived_at = unix_ms();
+        if self.is_primary(index) {
+            let mut arrivals = self.write_arrivals.lock().unwrap();
+            let earlier = arrivals.entry(statement.id.clone()).or_default();
+            let first = earlier.first().copied();
+            earlier.push(arrived_at);
+            drop(arrivals);
+            if let Some(first) = first.filter(|first| arrived_at - first <= self.options.remembers_ms) {
+                push_row(out, &statement.value, "INSERT 0 1");
+                let commit = self.commits.lock().unwrap().get(&statement.id).copied().unwrap_or(first);
+                self.push_status(index, true, commit, out);
+                self.record.line(format!(
+                    "{name} (primary) drops the repeat of {} after {:.0} ms",
+                    statement.id,
+                    arrived_at - first
+                ));
+                return;
+            }
+        }
         let declines = |state: &SetState| !state.members[index].is_primary || state.is_without_primary;
         {
             let mut state = self.state.lock().unwrap();
