--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -4,6 +4,7 @@
 
 mod client;
 mod delayed_server;
+mod flood;
 mod manual_discovery;
 mod proxy;
 mod servers;
@@ -18,6 +19,9 @@
     assert_error_response, connect_with_response, error_field, message_kinds, Client, Response,
 };
 pub use delayed_server::DelayedServer;
+pub use flood::{
+    peak_memory_bytes, usual_responses_beside_flood, Flood, FloodingClients, UsualClients, UsualResponses,
+};
 pub use manual_discovery::{send_chunk, ManualDiscovery};
 pub use proxy::{
     admin_post, admin_request, config_with_extended_connect_timeout, config_with_limits, is_ready,
