Charge all work for a peer to one bounded turn, and end startups that never end

Cause: the startup answered such requests in a loop that never waits. The bound of 16 messages a turn stood in another loop; each loop had to keep it by itself. Change: src/net/turn.rs owns what a task does before all others run, in system calls and messages, on the runtime's budget. Reads, writes, taken messages, reply messages, watch lines, handover sockets and accepts charge it themselves. Five requests for encryption end a connection. Closes with an error and steps delayed by 100 ms or more are warnings, one line in 10 s.

--- a/src/net/admin/server.rs
+++ b/src/net/admin/server.rs
@@ -18,6 +18,7 @@
 use super::http::{parse_call, AdminCall, HttpStatus, Response};
 use super::AdminApi;
 use crate::net::buffers::{self, write_all, BufferPool};
+use crate::net::turn::{charge, Work};
 
 /// Largest number of open connections.
 const MAX_CONNECTIONS: usize = 8;
@@ -52,6 +53,7 @@
 pub async fn run(listener: TcpListener, api: Rc<AdminApi>, pool: BufferPool) {
     let mut connections: VecDeque<AbortHandle> = VecDeque::new();
     loop {
+        charge(Work::Message).await;
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
--- a/src/net/buffers/chain.rs
+++ b/src/net/buffers/chain.rs
@@ -6,6 +6,7 @@
 use tokio::net::TcpStream;
 
 use super::pool::{Buffer, BufferPool, BUFFER_BYTES};
+use crate::net::turn::{charge, Work};
 
 /// A sequence of bytes in pooled buffers. All buffers except the last are full.
 pub struct BufferChain {
@@ -91,9 +92,7 @@
     /// Returns the error of the socket.
     pub async fn read_from(&mut self, stream: &TcpStream) -> io::Result<usize> {
         loop {
-            // Yields regularly, so that a peer that always has more bytes to read does not starve other
-            // tasks.
-            tokio::task::coop::consume_budget().await;
+            charge(Work::SystemCall).await;
             stream.readable().await?;
             match self.try_read_from(stream) {
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
--- a/src/net/buffers/write.rs
+++ b/src/net/buffers/write.rs
@@ -4,6 +4,8 @@
 
 use tokio::net::TcpStream;
 
+use crate::net::turn::{charge, Work};
+
 /// Writes all bytes of all slices, waiting while the socket is not writable.
 ///
 /// # Errors
@@ -13,6 +15,7 @@
     let mut remaining = slices;
     IoSlice::advance_slices(&mut remaining, 0);
     while !remaining.is_empty() {
+        charge(Work::SystemCall).await;
         match stream.try_write_vectored(remaining) {
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
             Ok(written) => IoSlice::advance_slices(&mut remaining, written),
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -32,9 +32,6 @@
 const MAX_SHORT_MESSAGE_BYTES: usize = 144 * 1024;
 /// Time limit for one write to a client.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
-/// Number of messages that a connection's task handles before it lets all other tasks run. A client may send
-/// commands that are answered without a wait as fast as they are read.
-const MAX_MESSAGES_PER_TURN: usize = 16;
 pub(super) const TOO_MANY_CLIENTS: &str = "sorry, too many clients already";
 
 /// State of a connection when this process takes it on.
@@ -192,15 +189,9 @@
             self.stage = Stage::Ready;
         }
         let mut ignores_until_sync = false; // set after an error in the extended query protocol
-        let mut messages_in_turn = 0;
         loop {
-            if messages_in_turn == MAX_MESSAGES_PER_TURN {
-                messages_in_turn = 0;
-                tokio::task::yield_now().await;
-            }
             match self.next_message().await? {
                 NextMessage::Received(message) => {
-                    messages_in_turn += 1;
                     if self.handle_message(message, &mut ignores_until_sync).await? == Flow::End {
                         return Ok(());
                     }
@@ -330,7 +321,7 @@
                     return Ok(NextMessage::End);
                 };
                 if self.inbound.bytes().len() >= length {
-                    return Ok(NextMessage::Received(self.inbound.split_to(length)));
+                    return Ok(NextMessage::Received(self.inbound.take_message(length).await));
                 }
                 if self.inbound.bytes().len() >= buffers::BUFFER_BYTES && self.reservation.is_none() {
                     self.reservation = tokio::select! {
@@ -393,6 +384,8 @@
 
     /// Writes a FATAL ErrorResponse and ends the connection.
     pub(super) async fn fail_connection(&self, code: &str, text: &str) -> io::Result<Flow> {
+        let age = self.shared.driver.clock().now().saturating_sub(self.accepted_at);
+        self.shared.log_connection_error(self.id, age, text);
         self.reply(|out| postgres::push_error(out, Severity::Fatal, code, text, None)).await?;
         Ok(Flow::End)
     }
--- a/src/net/client/final_rejections.rs
+++ b/src/net/client/final_rejections.rs
@@ -40,7 +40,7 @@
 impl MessageDiscarder {
     /// Discards received bytes up to the end of a message. Returns the kind of that message; `None` if its end
     /// has not been received.
-    fn next_kind(&mut self, inbound: &mut Inbound) -> Result<Option<u8>, InvalidLength> {
+    async fn next_kind(&mut self, inbound: &mut Inbound) -> Result<Option<u8>, InvalidLength> {
         let message = match self.current.take() {
             Some(message) => message,
             None => match begin_message(inbound)? {
@@ -49,7 +49,7 @@
             },
         };
         let count = message.remaining_bytes.min(inbound.bytes().len());
-        inbound.split_to(count);
+        inbound.take_message(count).await;
         let remaining_bytes = message.remaining_bytes - count;
         if remaining_bytes == 0 {
             return Ok(Some(message.kind));
@@ -133,7 +133,7 @@
         let mut count = 0;
         loop {
             let is_spread = self.shared.spreads_rejections();
-            let rejections = self.next_rejections(&mut discarder, is_spread);
+            let rejections = self.next_rejections(&mut discarder, is_spread).await;
             count += rejections.count;
             if !rejections.bytes.is_empty() {
                 self.no_request_guard = None;
@@ -141,7 +141,6 @@
                     sleep(REJECTION_INTERVAL).await;
                 }
                 self.write(&rejections.bytes).await?;
-                tokio::task::yield_now().await; // a client that sends without a pause must not delay the others
             }
             let is_partial = discarder.current.is_some() || !self.inbound.bytes().is_empty();
             match rejections.next {
@@ -160,10 +159,10 @@
     }
 
     /// Returns the responses to the messages that were received completely, or to the first of them.
-    fn next_rejections(&mut self, discarder: &mut MessageDiscarder, only_first: bool) -> Rejections {
+    async fn next_rejections(&mut self, discarder: &mut MessageDiscarder, only_first: bool) -> Rejections {
         let mut rejections = Rejections::default();
         loop {
-            match discarder.next_kind(&mut self.inbound) {
+            match discarder.next_kind(&mut self.inbound).await {
                 Ok(Some(kind)) => rejections.reject(kind),
                 Ok(None) => return rejections,
                 Err(InvalidLength) => rejections.end("08P01", "invalid message length"),
--- a/src/net/client/inbound.rs
+++ b/src/net/client/inbound.rs
@@ -17,6 +17,7 @@
 
 use crate::net::buffers::{self, BufferChain, BufferPool};
 use crate::net::driver::ClientHandle;
+use crate::net::turn::{charge, Work};
 
 /// Reads within this time of each other share one record; the difference does not matter for a request's
 /// timeout.
@@ -86,8 +87,10 @@
         unread.is_ok_and(|count| count > 0)
     }
 
-    /// Removes and returns the first `count` bytes, with the time at which the last of them was read.
-    pub(super) fn split_to(&mut self, count: usize) -> ReceivedMessage {
+    /// Removes and returns a message, or a part of one: the first `count` bytes, with the time at which the last
+    /// of them was read.
+    pub(super) async fn take_message(&mut self, count: usize) -> ReceivedMessage {
+        charge(Work::Message).await;
         let mut remaining = count;
         let mut received_at = Instant::now();
         while let Some(first) = self.reads.front_mut().filter(|_| remaining > 0) {
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -12,7 +12,6 @@
 mod long_statement;
 mod pause_detector;
 mod query;
-mod rejection_log;
 mod request_ids;
 mod service;
 mod service_phase;
--- a/src/net/client/service.rs
+++ b/src/net/client/service.rs
@@ -18,6 +18,7 @@
 use crate::net::buffers::BufferPool;
 use crate::net::hot_restart::frame::Successor;
 use crate::net::server::PgDriver;
+use crate::net::turn::{charge, Work};
 
 /// Idle connections are evicted while the number of clients is at least this share of `reserved_clients`.
 const EVICTION_THRESHOLD_SHARE: f64 = 0.5;
@@ -108,7 +109,10 @@
                     self.0.pauses.record_run();
                     while self.needs_eviction() && self.0.connections.evict_one() {}
                 }
-                accepted = listener.accept(), if !*successor_accepts.borrow() => self.admit(accepted).await,
+                accepted = listener.accept(), if !*successor_accepts.borrow() => {
+                    charge(Work::Message).await;
+                    self.admit(accepted).await;
+                }
             }
         }
     }
@@ -118,6 +122,7 @@
     async fn drain_accept_queue(&self, listener: TcpListener) -> io::Result<()> {
         let queue = listener.into_std()?;
         loop {
+            charge(Work::Message).await;
             match queue.accept() {
                 Ok((stream, peer)) => {
                     stream.set_nonblocking(true)?;
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -9,16 +9,16 @@
 use tokio::time::{sleep_until, Instant};
 
 use super::class_table::ClassTable;
-use super::connection_table::{ConnectionTable, IdleReason};
+use super::connection_table::{ConnectionId, ConnectionTable, IdleReason};
 use super::final_rejections;
 use super::pause_detector::PauseDetector;
-use super::rejection_log::RejectionLog;
 use super::request_ids::RequestIds;
 use super::service::{ClientOptions, SWEEP_INTERVAL};
 use super::service_phase::{PhaseControl, ServicePhase};
 use super::socket_share::SocketShare;
 use crate::net::buffers::{BufferChain, BufferPool};
 use crate::net::hot_restart::frame::Successor;
+use crate::net::log_limit::LogLimit;
 use crate::net::server::PgDriver;
 
 /// State of the client side, shared by the accept loop and all connection tasks.
@@ -49,7 +49,10 @@
     /// Notified of events that may advance a graceful shutdown.
     pub shutdown_notify: Notify,
     sockets: SocketShare,
-    rejections: RejectionLog,
+    /// Log lines about clients that are rejected because the client limit is reached.
+    rejections: LogLimit,
+    /// Log lines about connections that are closed with an error.
+    connection_errors: LogLimit,
 }
 
 impl Shared {
@@ -72,7 +75,8 @@
             shutdown: RefCell::default(),
             shutdown_notify: Notify::new(),
             sockets: SocketShare::new(max_clients, reserved_clients, sockets),
-            rejections: RejectionLog::default(),
+            rejections: LogLimit::default(),
+            connection_errors: LogLimit::default(),
         }
     }
 
@@ -174,6 +178,16 @@
         shutdown.as_ref().map_or(timeout, time_left)
     }
 
+    /// Counts a connection that is closed with an error, and logs it if a log line is due.
+    pub(super) fn log_connection_error(&self, id: ConnectionId, age: Duration, text: &str) {
+        if let Some(count) = self.connection_errors.record() {
+            let age_ms = age.as_millis();
+            log::warn!(
+                "client connection {id} closed after {age_ms} ms: {text} ({count} closed with an error)"
+            );
+        }
+    }
+
     /// Counts a client that is rejected because the client limit is reached, and logs the count if a log line
     /// is due.
     pub(super) fn log_rejection(&self) {
--- a/src/net/client/startup.rs
+++ b/src/net/client/startup.rs
@@ -13,8 +13,12 @@
 /// Time limit for receiving the startup packet of a client that is to be rejected. A slower client does not
 /// get the rejection error.
 const REJECTED_STARTUP_TIMEOUT: Duration = Duration::from_millis(100);
+/// Largest number of requests for encryption on a connection. A client asks for TLS and GSSAPI once each.
+const MAX_ENCRYPTION_REQUESTS: usize = 4;
 /// Size in bytes of the length field of a startup packet.
 const LENGTH_BYTES: usize = 4;
+/// Response to a request for encryption, which the proxy does not support.
+const ENCRYPTION_DECLINED: &[u8] = b"N";
 /// Size in bytes of the shortest startup packet: the length field and the protocol version.
 const MIN_STARTUP_BYTES: usize = 8;
 
@@ -24,6 +28,7 @@
     pub(super) async fn run_startup(&mut self, at_limit: bool) -> io::Result<Flow> {
         let timeout = if at_limit { REJECTED_STARTUP_TIMEOUT } else { MESSAGE_TIMEOUT };
         let deadline = Some(Instant::now() + timeout);
+        let mut encryption_requests = 0;
         loop {
             let length =
                 self.inbound.bytes().array::<LENGTH_BYTES>(0).map(|bytes| u32::from_be_bytes(bytes) as usize);
@@ -40,10 +45,16 @@
                 }
                 continue;
             };
-            let packet = self.inbound.split_to(length).bytes;
+            let packet = self.inbound.take_message(length).await.bytes;
             let body: Vec<u8> = packet.slices(LENGTH_BYTES..length).flatten().copied().collect();
             match postgres::parse_startup(&body) {
-                Some(Startup::Encryption) => self.write(b"N").await?, // declines encryption
+                Some(Startup::Encryption) => {
+                    encryption_requests += 1;
+                    if encryption_requests > MAX_ENCRYPTION_REQUESTS {
+                        return self.fail_connection("08P01", "too many requests for encryption").await;
+                    }
+                    self.write(ENCRYPTION_DECLINED).await?;
+                }
                 Some(Startup::Session(minor_version)) => {
                     return self.begin_session(minor_version, at_limit).await
                 }
--- a/src/net/discovery/response.rs
+++ b/src/net/discovery/response.rs
@@ -14,6 +14,7 @@
 use super::http::{find_subslice, parse_response_head, BodyDecoder, BodyFraming, ResponseHead};
 use crate::endpoint_list::EndpointList;
 use crate::net::buffers::{write_all, BufferPool};
+use crate::net::turn::{charge, Work};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time limit for a complete response, including the connect. The service processes its requests one after
@@ -122,6 +123,7 @@
     /// Reads the next list of a watch, whose JSON may span several lines. Returns `None` for an empty line.
     pub(super) async fn next_list(&mut self) -> Result<Option<EndpointList>, DiscoveryError> {
         loop {
+            charge(Work::Message).await;
             if self.take_empty_line() {
                 return Ok(None);
             }
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -39,6 +39,7 @@
     Settings, SettingsError,
 };
 
+use crate::net::log_limit::LogLimit;
 pub use clock::Clock;
 pub use commands::{AttemptCommand, DiscoveryCommand, ServerCommand};
 pub use peer_link::PeerLink;
@@ -59,6 +60,8 @@
     peer: PeerLinkSlot,
     server_commands: UnboundedSender<ServerCommand<Q>>,
     discovery_commands: UnboundedSender<DiscoveryCommand>,
+    /// Log lines about steps that other tasks have delayed for long.
+    delayed_steps: LogLimit,
     /// Wakes [`Driver::run`] when an event is queued or a step is requested.
     event_queued: Notify,
 }
@@ -94,6 +97,7 @@
             peer: PeerLinkSlot::default(),
             server_commands: server_sender,
             discovery_commands: discovery_sender,
+            delayed_steps: LogLimit::default(),
             event_queued: Notify::new(),
         };
         Ok(Self { driver: Driver(Rc::new(shared)), server_commands, discovery_commands })
--- a/src/net/driver/step.rs
+++ b/src/net/driver/step.rs
@@ -18,8 +18,10 @@
 /// Time between two steps above which the process counts as paused. It is less than the time for which a
 /// successor waits for this process, so a pause that lets a successor start without a handover is detected.
 const MIN_PROCESS_PAUSE: Duration = Duration::from_millis(800);
-/// Shortest delay of a step by other tasks that is logged.
+/// Shortest delay of a step by other tasks that is logged at debug level.
 const MIN_LOGGED_DELAY: Duration = Duration::from_millis(20);
+/// Shortest delay of a step by other tasks that is logged as a warning: responses are late by as much.
+const MIN_WARNED_DELAY: Duration = Duration::from_millis(100);
 /// Time after a pause within which this process learns of a successor that was started during the pause.
 const PAUSE_GRACE_PERIOD: Duration = Duration::from_millis(500);
 
@@ -41,7 +43,7 @@
             self.step();
             let stepped_at = Instant::now();
             tokio::time::sleep(self.0.min_step_interval).await;
-            log_delay(stepped_at.elapsed().saturating_sub(self.0.min_step_interval));
+            self.log_delay(stepped_at.elapsed().saturating_sub(self.0.min_step_interval));
         }
     }
 
@@ -70,6 +72,22 @@
         state.actions = actions;
     }
 
+    /// Logs the time by which other tasks have delayed the next step, if it is long.
+    fn log_delay(&self, delay: Duration) {
+        let delay_ms = delay.as_millis();
+        if delay >= MIN_LOGGED_DELAY {
+            log::debug!("step delayed by other tasks: {delay_ms} ms");
+        }
+        if delay >= MIN_WARNED_DELAY {
+            if let Some(count) = self.0.delayed_steps.record() {
+                let in_flight = self.requests_in_flight();
+                log::warn!(
+                    "steps delayed by other tasks: {count}, the last by {delay_ms} ms, {in_flight} requests in flight"
+                );
+            }
+        }
+    }
+
     fn execute_action(&self, now: Duration, action: Action, state: &mut DriverState<Q, R>) {
         match action {
             Action::Forward { request, server, timeout, send_by } => {
@@ -164,13 +182,6 @@
     }
 }
 
-/// Logs the time by which other tasks have delayed the next step, if it is long.
-fn log_delay(delay: Duration) {
-    if delay >= MIN_LOGGED_DELAY {
-        log::debug!("step delayed by other tasks: {} ms", delay.as_millis());
-    }
-}
-
 /// Fields of [`Action::Forward`].
 struct ForwardAction {
     request: RequestId,
--- a/src/net/hot_restart/socket.rs
+++ b/src/net/hot_restart/socket.rs
@@ -14,6 +14,8 @@
 use tokio::io::Interest;
 use tokio::net::UnixStream;
 
+use crate::net::turn::{charge, Work};
+
 /// Largest number of bytes per read.
 const READ_CHUNK_BYTES: usize = 16 * 1024;
 
@@ -48,6 +50,7 @@
 pub(super) async fn write_all(stream: &UnixStream, bytes: &[u8]) -> io::Result<()> {
     let mut sent = 0;
     while sent < bytes.len() {
+        charge(Work::SystemCall).await;
         stream.writable().await?;
         match stream.try_write(&bytes[sent..]) {
             Ok(length) => sent += length,
@@ -60,6 +63,7 @@
 
 /// Reads at most `buffer.len()` bytes and the descriptor that was sent with them.
 pub(super) async fn receive_with_descriptor(stream: &UnixStream, buffer: &mut [u8]) -> io::Result<Received> {
+    charge(Work::SystemCall).await;
     let read = || {
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
         let mut control = RecvAncillaryBuffer::new(&mut space);
@@ -78,6 +82,7 @@
     let mut content = Vec::new();
     let mut chunk = [0; READ_CHUNK_BYTES];
     while content.len() < length {
+        charge(Work::SystemCall).await;
         stream.readable().await?;
         let wanted = chunk.len().min(length - content.len());
         match stream.try_read(&mut chunk[..wanted]) {
@@ -93,6 +98,7 @@
 /// Waits until the stream ends or fails. Discards bytes that are received meanwhile.
 pub(super) async fn wait_until_closed(stream: &UnixStream) {
     while stream.readable().await.is_ok() {
+        charge(Work::SystemCall).await;
         match stream.try_read(&mut [0; 4096]) {
             Ok(length) if length > 0 => {}
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
--- a/src/net/server/query_result.rs
+++ b/src/net/server/query_result.rs
@@ -138,7 +138,7 @@
     async fn next_chunk(&mut self) -> io::Result<Option<BufferChain>> {
         while !self.is_complete {
             if self.remaining_row_bytes == 0 {
-                if let Some(command_complete) = self.command_complete()? {
+                if let Some(command_complete) = self.command_complete().await? {
                     self.is_complete = true;
                     self.report_commit();
                     return Ok(Some(command_complete));
@@ -161,8 +161,8 @@
         Ok(None)
     }
 
-    fn command_complete(&mut self) -> io::Result<Option<BufferChain>> {
-        self.reply.process_messages()?;
+    async fn command_complete(&mut self) -> io::Result<Option<BufferChain>> {
+        self.reply.process_messages().await?;
         if self.reply.sqlstate().is_some() {
             return Err(io::ErrorKind::InvalidData.into());
         }
@@ -185,7 +185,7 @@
     fn finish_in_background(mut self) {
         spawn_local(async move {
             let read_to_end = async {
-                while !self.reply.process_messages()? {
+                while !self.reply.process_messages().await? {
                     if self.reply.bytes_mut().read_from(&self.connection.stream).await? == 0 {
                         return Err(io::ErrorKind::UnexpectedEof.into());
                     }
--- a/src/net/server/reply.rs
+++ b/src/net/server/reply.rs
@@ -16,6 +16,7 @@
 use crate::net::buffers::{BufferChain, BufferPool};
 use crate::net::driver::{AttemptResult, Clock};
 use crate::net::postgres::{self, MessageHeader};
+use crate::net::turn::{charge, Work};
 
 /// Longest time between two reads of a reply. Servers write a reply in one go, so a longer gap means that the
 /// reply is broken. Also the time limit for the messages after a large row.
@@ -75,7 +76,7 @@
 ) -> io::Result<Reply> {
     let mut reply = Reply::new(buffers.chain(), expected);
     loop {
-        if reply.process_messages()? || reply.remaining_row_bytes.is_some() {
+        if reply.process_messages().await? || reply.remaining_row_bytes.is_some() {
             return Ok(reply);
         }
         let has_begun = !reply.bytes.is_empty();
@@ -120,7 +121,7 @@
     }
 
     /// Processes the messages that are received completely. Returns whether the last one was ReadyForQuery.
-    pub(super) fn process_messages(&mut self) -> io::Result<bool> {
+    pub(super) async fn process_messages(&mut self) -> io::Result<bool> {
         while let Some(bytes) = self.bytes.array::<HEADER_BYTES>(self.next_message_at) {
             let header = postgres::parse_header(bytes).ok_or(io::ErrorKind::InvalidData)?;
             let start = self.next_message_at;
@@ -132,6 +133,7 @@
                 self.check_large_row(header)?;
                 return Ok(false);
             }
+            charge(Work::Message).await;
             self.next_message_at = end;
             self.bytes.copy(start + HEADER_BYTES..end, &mut self.scratch);
             self.process_message(header.kind, start..end).ok_or(io::ErrorKind::InvalidData)?;
