Do not execute a write that must not be repeated again when its id comes again

What callers saw: a write with effect once ran twice when its id came again after its client had left, after its answer, or at the successor of a hot restart. Cause: ids were known while a request was in flight, in its own process alone; a client that leaves does not undo an execution. Change: core/src/deduplication.rs remembers ids that may have been executed (60 s, 16,384 ids, 1 MiB); asked on arrival and just before the first byte of an attempt. The hand-over state and the peer channel carry the ids; both are optional fields, older builds read on.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod api;
 mod concurrency_limit;
+pub mod deduplication;
 mod discovery_schedule;
 pub mod ewma;
 pub mod failover;
--- a/src/net/client/query.rs
+++ b/src/net/client/query.rs
@@ -13,7 +13,7 @@
 use super::request_ids::IdStatus;
 use super::service_phase::ServicePhase;
 use crate::api::{Consistency, GroupId};
-use crate::net::driver::{NewRequest, Response};
+use crate::net::driver::{NewRequest, Repeat, Response};
 use crate::net::postgres::{self, Severity, Statement};
 use crate::net::server::{Query, QueryResult};
 
@@ -82,7 +82,17 @@
             IdStatus::Abandoned(request) => self.shared.driver.client_disconnected(request),
             IdStatus::Free => {}
         }
-        self.submit(statement, &class, message, text).await
+        let group = GroupId(statement.group);
+        match self.shared.driver.repeat_permission(&statement.id, class.id, group) {
+            Repeat::Allowed => self.submit(statement, &class, message, text).await,
+            Repeat::AllowedFor(time) => {
+                let timeout = statement.timeout.min(time);
+                self.submit(Statement { timeout, ..statement }, &class, message, text).await
+            }
+            Repeat::Denied => {
+                self.fail_query("40003", "an earlier request with this id may have been executed").await
+            }
+        }
     }
 
     async fn submit(
--- a/src/net/driver/attempt_table.rs
+++ b/src/net/driver/attempt_table.rs
@@ -20,6 +20,9 @@
     /// Whether the attempt is a read that needs fresh data, at a server that was not known to be a replica when
     /// the engine chose it. As a replica, the server may be too far behind.
     pub(super) assumes_primary: bool,
+    /// Id under which the attempt may be executed. `None` until its write begins, and for requests that may be
+    /// executed more than once.
+    pub(super) executed_id: Option<String>,
 }
 
 impl InFlightAttempt {
@@ -64,6 +67,10 @@
         self.0.get(&id)
     }
 
+    pub(super) fn get_mut(&mut self, id: AttemptId) -> Option<&mut InFlightAttempt> {
+        self.0.get_mut(&id)
+    }
+
     pub(super) fn remove(&mut self, id: AttemptId) -> Option<InFlightAttempt> {
         self.0.remove(&id)
     }
--- a/src/net/driver/hot_restart.rs
+++ b/src/net/driver/hot_restart.rs
@@ -32,6 +32,20 @@
         self.0.event_queued.notify_one();
     }
 
+    /// Returns the ids of the requests that this process may have executed, for a successor process.
+    pub fn executed_ids(&self) -> Vec<String> {
+        self.0.state.borrow().executed_ids.ids().map(str::to_owned).collect()
+    }
+
+    /// Records ids of requests that another process of this proxy instance may have executed.
+    pub fn restore_executed_ids(&self, ids: &[String]) {
+        let now = self.0.clock.now();
+        let mut state = self.0.state.borrow_mut();
+        for id in ids {
+            state.executed_ids.record_peer(id, now);
+        }
+    }
+
     /// Connects the peer process, which also serves, so that both processes notify each other of changes.
     pub fn connect_peer(&self, link: Rc<dyn PeerLink>) {
         self.0.peer.connect(link);
@@ -53,9 +67,12 @@
     /// Disconnects the peer process, if there is one, after its last messages are received. The peer has
     /// exited or is unresponsive; the engine no longer counts it as unreachable.
     pub fn disconnect_peer(&self) {
-        let peer = self.0.peer.disconnect();
-        let messages = peer.map(|peer| peer.receive()).unwrap_or_default();
-        self.0.state.borrow_mut().events.extend(messages.into_iter().map(Event::PeerMessage));
+        let now = self.0.clock.now();
+        let mut state = self.0.state.borrow_mut();
+        let messages = self.receive_from_peer(now, &mut state);
+        state.events.extend(messages.into_iter().map(Event::PeerMessage));
+        drop(state);
+        self.0.peer.disconnect();
         self.queue_event(Event::PeerMessage(PeerMessage::PeerUnreachable(false)));
     }
 
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -16,6 +16,7 @@
 mod clock;
 mod commands;
 mod endpoint_view;
+mod execution;
 mod hot_restart;
 mod peer_link;
 mod request;
@@ -42,8 +43,9 @@
 use crate::net::log_limit::LogLimit;
 pub use clock::Clock;
 pub use commands::{AttemptCommand, DiscoveryCommand, ServerCommand};
-pub use peer_link::PeerLink;
+pub use execution::Repeat;
 use peer_link::PeerLinkSlot;
+pub use peer_link::{PeerLink, ReceivedFromPeer};
 pub use request::{AttemptResult, ClientHandle, NewRequest, Response};
 use request_table::OpenRequest;
 use state::DriverState;
@@ -124,6 +126,7 @@
             query: Rc::new(query),
             client: request.client,
             class: request.class,
+            group: request.group,
             staleness_bound,
             submitted_at: now,
             deadline: now + request.time_left,
@@ -168,8 +171,9 @@
 
     /// Returns whether an attempt may still be sent. The server side calls this just before it writes the
     /// first byte of the query. By that time the client may have disconnected, the request may be complete,
-    /// the server may have been withdrawn, or a server that was chosen as the primary may have reported that
-    /// it is a replica.
+    /// the server may have been withdrawn, a server that was chosen as the primary may have reported that it
+    /// is a replica, or another request with the same id may have been executed. If this returns true, the
+    /// caller writes the attempt.
     pub fn may_send_attempt(&self, attempt: AttemptId, server: ServerId) -> bool {
         let client = self.0.state.borrow().requests.get(attempt.request).map(|open| open.client.clone());
         let Some(client) = client else { return false };
@@ -177,7 +181,9 @@
             self.client_disconnected(attempt.request);
             return false;
         }
-        self.accepts_attempts(server) && !self.lost_primary_role(attempt, server)
+        self.accepts_attempts(server)
+            && !self.lost_primary_role(attempt, server)
+            && self.begin_execution(attempt)
     }
 
     /// Returns whether an attempt needs fresh data and was sent to its server on the assumption that the
@@ -198,6 +204,11 @@
         let now = self.0.clock.now();
         let Some(attempt) = self.0.state.borrow_mut().attempts.remove(id) else { return };
         attempt.log_end(id, now, result.outcome);
+        if let Some(executed_id) = attempt.executed_id.as_deref() {
+            if result.outcome.rules_out_execution() {
+                self.record_not_executed(id.request, executed_id);
+            }
+        }
         if let Some(status) = result.status {
             self.0.state.borrow_mut().endpoints.record_status(attempt.server, status);
         }
--- a/src/net/driver/peer_link.rs
+++ b/src/net/driver/peer_link.rs
@@ -5,6 +5,15 @@
 
 use crate::api::PeerMessage;
 
+/// What has arrived from the peer process.
+#[derive(Debug, Default)]
+pub struct ReceivedFromPeer {
+    /// Messages for the routing engine.
+    pub messages: Vec<PeerMessage>,
+    /// Ids of requests that the peer may have executed.
+    pub executed_ids: Vec<String>,
+}
+
 /// A link to the peer process.
 pub trait PeerLink {
     /// Sends a message. If the message cannot be delivered, the link tells the peer before this returns, so
@@ -12,8 +21,11 @@
     fn send(&self, message: &PeerMessage);
     /// Notifies the peer that no more messages follow.
     fn close(&self);
-    /// Returns all messages that have arrived since the last call, in order.
-    fn receive(&self) -> Vec<PeerMessage>;
+    /// Notifies the peer that a request with this id may be executed from now on. Does nothing if the peer
+    /// does not know of such ids.
+    fn send_executed_id(&self, client_request_id: &str);
+    /// Returns all that has arrived since the last call, in order.
+    fn receive(&self) -> ReceivedFromPeer;
 }
 
 /// Holds the link to the peer process, if there is one. The slot is not borrowed while a method of the link
@@ -34,8 +46,8 @@
         self.0.borrow().clone()
     }
 
-    /// Returns all messages that have arrived since the last call; none without a peer.
-    pub(super) fn receive(&self) -> Vec<PeerMessage> {
+    /// Returns all that has arrived since the last call; nothing without a peer.
+    pub(super) fn receive(&self) -> ReceivedFromPeer {
         self.link().map(|link| link.receive()).unwrap_or_default()
     }
 }
--- a/src/net/driver/request.rs
+++ b/src/net/driver/request.rs
@@ -9,7 +9,8 @@
 /// A request from the client side. The driver assigns the request id.
 #[derive(Debug, Clone, Default)]
 pub struct NewRequest {
-    /// Id that the client assigned; used only in log lines.
+    /// Id that the client assigned; empty for none. A request that must not be repeated is not executed a
+    /// second time under its id.
     pub client_request_id: String,
     /// The client that waits for the response. With `None`, the driver assumes that the client never
     /// disconnects.
--- a/src/net/driver/request_rules.rs
+++ b/src/net/driver/request_rules.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use super::request::NewRequest;
-use crate::api::{Class, ClassId, Consistency, SessionTokens, Settings};
+use crate::api::{Class, ClassId, Consistency, Idempotency, SessionTokens, Settings};
 
 /// Rules for new requests. A class is stored at the index of its id.
 pub(super) struct RequestRules {
@@ -55,6 +55,11 @@
         request.session.as_deref().filter(|_| is_tracked_write).map(Rc::from)
     }
 
+    /// Returns whether a request of this class may be executed more than once. An unknown class may not.
+    pub(super) fn idempotency(&self, class: ClassId) -> Idempotency {
+        self.classes.get(class.0).map_or(Idempotency::NonIdempotent, |class| class.idempotency)
+    }
+
     fn consistency(&self, class: ClassId) -> Option<Consistency> {
         self.classes.get(class.0).map(|class| class.consistency)
     }
--- a/src/net/driver/request_table.rs
+++ b/src/net/driver/request_table.rs
@@ -11,15 +11,16 @@
 use tokio::sync::oneshot;
 
 use super::request::{ClientHandle, Response};
-use crate::api::{AttemptNumber, ClassId, RequestId};
+use crate::api::{AttemptNumber, ClassId, GroupId, RequestId};
 
 /// A request in flight. Times are on the proxy's clock.
 pub(super) struct OpenRequest<Q, R> {
-    /// Id that the client assigned; used only in log lines.
+    /// Id that the client assigned.
     pub(super) client_request_id: String,
     pub(super) query: Rc<Q>,
     pub(super) client: Option<Rc<dyn ClientHandle>>,
     pub(super) class: ClassId,
+    pub(super) group: GroupId,
     /// Largest permitted age of the data that the request reads; `None` if the class has no bound.
     pub(super) staleness_bound: Option<Duration>,
     pub(super) submitted_at: Duration,
--- a/src/net/driver/state.rs
+++ b/src/net/driver/state.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use pipittack_core::deduplication::DeduplicationTable;
+
 use super::attempt_table::AttemptTable;
 use super::endpoint_view::EndpointView;
 use super::request_rules::RequestRules;
@@ -17,6 +19,8 @@
     pub(super) attempts: AttemptTable,
     pub(super) endpoints: EndpointView,
     pub(super) rules: RequestRules,
+    /// Ids of requests that may have been executed.
+    pub(super) executed_ids: DeduplicationTable,
     pub(super) timers: TimerQueue,
     /// Events for the next step, in the order in which they were reported.
     pub(super) events: Vec<Event>,
@@ -33,6 +37,7 @@
             attempts: AttemptTable::default(),
             endpoints: EndpointView::new(settings.rules.removed_may_serve),
             rules: RequestRules::new(&settings),
+            executed_ids: DeduplicationTable::default(),
             timers: TimerQueue::default(),
             events: Vec::new(),
             actions: Vec::new(),
--- a/src/net/driver/step.rs
+++ b/src/net/driver/step.rs
@@ -55,12 +55,13 @@
         // The peer may have sent its messages before the queued requests arrived, so the engine gets the
         // messages first. The report of a process pause also goes first, since the peer may have sent
         // messages during the pause that this process did not receive.
-        let mut messages = self.0.peer.receive();
+        let mut messages = self.receive_from_peer(now, state);
         if now.saturating_sub(state.last_step) > MIN_PROCESS_PAUSE {
             messages.push(PeerMessage::ProcessPaused(PAUSE_GRACE_PERIOD));
         }
         state.last_step = now;
         state.events.splice(0..0, messages.into_iter().map(Event::PeerMessage));
+        state.executed_ids.expire(now);
         while let Some(timer) = state.timers.pop_due(now) {
             state.events.push(Event::Timer(timer));
         }
@@ -82,12 +83,22 @@
             if let Some(count) = self.0.delayed_steps.record() {
                 let in_flight = self.requests_in_flight();
                 log::warn!(
-                    "steps delayed by other tasks: {count}, the last by {delay_ms} ms, {in_flight} requests in flight"
+                    "steps delayed by other tasks: {count}, the last by {delay_ms} ms, {in_flight} requests \
+                     in flight"
                 );
             }
         }
     }
 
+    /// Records the ids that the peer may have executed. Returns its messages for the routing engine.
+    pub(super) fn receive_from_peer(&self, now: Duration, state: &mut DriverState<Q, R>) -> Vec<PeerMessage> {
+        let received = self.0.peer.receive();
+        for id in &received.executed_ids {
+            state.executed_ids.record_peer(id, now);
+        }
+        received.messages
+    }
+
     fn execute_action(&self, now: Duration, action: Action, state: &mut DriverState<Q, R>) {
         match action {
             Action::Forward { request, server, timeout, send_by } => {
@@ -119,7 +130,12 @@
     }
 
     /// Completes a request with a final response that the engine has decided on.
-    fn complete_request(now: Duration, id: RequestId, response: Response<R>, state: &mut DriverState<Q, R>) {
+    pub(super) fn complete_request(
+        now: Duration,
+        id: RequestId,
+        response: Response<R>,
+        state: &mut DriverState<Q, R>,
+    ) {
         let Some(request) = state.requests.remove(id) else { return };
         let result = if matches!(response, Response::Failed) { "failed" } else { "rejected" };
         let waited_ms = now.saturating_sub(request.submitted_at).as_millis();
@@ -176,6 +192,7 @@
             sent_at: now,
             writing_session: open.writing_session.clone(),
             assumes_primary: !is_replica && state.rules.needs_fresh_data(open.class),
+            executed_id: None,
         };
         state.attempts.insert(id, attempt);
         self.send_command(ServerCommand::StartAttempt(command));
--- a/src/net/hot_restart/handover.rs
+++ b/src/net/hot_restart/handover.rs
@@ -73,7 +73,10 @@
     loop {
         match socket.accept().await {
             Ok(stream) => match check_hello(&stream, &hello).await {
-                Ok(()) => serve_successor(Rc::new(stream), &listener, &resources).await,
+                Ok(successor) => {
+                    let stream = Rc::new(stream);
+                    serve_successor(stream, successor.knows_request_ids, &listener, &resources).await;
+                }
                 Err(e) => log::warn!("connection to the handover socket rejected: {e}"),
             },
             Err(e) => {
@@ -84,13 +87,13 @@
     }
 }
 
-/// Receives the successor's hello. Fails if the proxy instance or the protocol version differs.
-async fn check_hello(stream: &UnixStream, expected: &Hello) -> Result<(), HandoverError> {
+/// Receives and returns the successor's hello. Fails if the proxy instance or the protocol version differs.
+async fn check_hello(stream: &UnixStream, expected: &Hello) -> Result<Hello, HandoverError> {
     let frame = timeout(HELLO_TIMEOUT, receive(stream)).await??;
     let frame = frame.ok_or(HandoverError::ConnectionClosed)?;
     let found = Hello::decode(&frame.payload)?;
-    if found == *expected {
-        Ok(())
+    if found.matches(expected) {
+        Ok(found)
     } else {
         Err(HandoverError::HelloMismatch { found, expected: expected.clone() })
     }
@@ -98,10 +101,15 @@
 
 /// Hands over to a successor. Returns when the connection to the successor has closed or the handover has
 /// failed.
-async fn serve_successor(stream: Rc<UnixStream>, listener: &OwnedFd, resources: &SharedResources) {
+async fn serve_successor(
+    stream: Rc<UnixStream>,
+    knows_request_ids: bool,
+    listener: &OwnedFd,
+    resources: &SharedResources,
+) {
     log::info!("successor connected");
     let clients = &resources.clients;
-    match negotiate(&stream, listener, resources).await {
+    match negotiate(&stream, knows_request_ids, listener, resources).await {
         Ok(SuccessorMode::TakesOver) => {
             clients.set_successor(Some(Successor(stream.clone())));
             wait_until_closed(&stream).await;
@@ -124,6 +132,7 @@
 /// the mode in which the successor serves.
 async fn negotiate(
     stream: &UnixStream,
+    knows_request_ids: bool,
     listener: &OwnedFd,
     resources: &SharedResources,
 ) -> Result<SuccessorMode, HandoverError> {
@@ -132,7 +141,7 @@
         biased;
         // A successor that timed out before this process read its hello has already sent `ServesInParallel`.
         reply = &mut reply => reply,
-        sent = send_handover(stream, listener, resources) => {
+        sent = send_handover(stream, knows_request_ids, listener, resources) => {
             sent?;
             reply.await
         }
@@ -158,11 +167,12 @@
 /// state is read without an await in between, so that each later change is sent over the channel.
 async fn send_handover(
     stream: &UnixStream,
+    knows_request_ids: bool,
     listener: &OwnedFd,
     resources: &SharedResources,
 ) -> Result<(), HandoverError> {
     let (local, remote) = socket_pair()?;
-    PeerChannel::connect(&resources.driver, &resources.registry, local)?;
+    PeerChannel::connect(&resources.driver, &resources.registry, local, knows_request_ids)?;
     let state = current_state(resources);
     send(stream, FrameKind::Listener, &[], Some(listener.as_fd())).await?;
     send(stream, FrameKind::PeerChannel, &[], Some(remote.as_fd())).await?;
@@ -174,6 +184,7 @@
     let registry = resources.registry.borrow();
     let zero_unix_ms = driver.clock().zero_unix_ms();
     HandoverState::new(zero_unix_ms, registry.endpoint_list(), registry.server_names(), driver.snapshot())
+        .with_executed_ids(driver.executed_ids())
 }
 
 #[cfg(test)]
--- a/src/net/hot_restart/peer_channel.rs
+++ b/src/net/hot_restart/peer_channel.rs
@@ -29,7 +29,7 @@
 use tokio::task::{spawn_local, AbortHandle};
 
 use crate::net::discovery::SharedEndpointRegistry;
-use crate::net::driver::{Clock, PeerLink};
+use crate::net::driver::{Clock, PeerLink, ReceivedFromPeer};
 use crate::net::server::PgDriver;
 
 /// Length in bytes of the longest packet. A session name that does not fit closes the channel.
@@ -52,6 +52,12 @@
         #[serde(rename = "uid")]
         name: String,
     },
+    /// A request with this id may be executed from now on. Sent only to a peer that knows this packet.
+    #[serde(rename = "executed")]
+    ExecutedId {
+        #[serde(rename = "id")]
+        client_request_id: String,
+    },
     /// Last packet: the sender has no request in flight and accepts no more requests.
     #[serde(rename = "over")]
     Closed,
@@ -66,6 +72,8 @@
     registry: SharedEndpointRegistry,
     /// Whether the peer has closed the channel or a read has failed. From then on, no more packets are read.
     closed: Cell<bool>,
+    /// Whether the peer knows packets with ids of requests.
+    peer_knows_request_ids: bool,
     /// Buffer for one packet.
     buffer: RefCell<Vec<u8>>,
     driver_wake_task: AbortHandle,
@@ -78,12 +86,18 @@
 }
 
 impl PeerChannel {
-    /// Connects the driver to one end of a channel. Must run inside a [`tokio::task::LocalSet`].
+    /// Connects the driver to one end of a channel. `peer_knows_request_ids` says whether the peer knows packets
+    /// with ids of requests, which builds before them cannot decode. Must run inside a [`tokio::task::LocalSet`].
     ///
     /// # Errors
     ///
     /// Returns an error if the runtime cannot register the socket.
-    pub fn connect(driver: &PgDriver, registry: &SharedEndpointRegistry, socket: OwnedFd) -> io::Result<()> {
+    pub fn connect(
+        driver: &PgDriver,
+        registry: &SharedEndpointRegistry,
+        socket: OwnedFd,
+        peer_knows_request_ids: bool,
+    ) -> io::Result<()> {
         // tokio has no type for SEQPACKET sockets. The `UnixStream` only signals readiness; packets are read
         // and written with direct system calls.
         let socket = Rc::new(UnixStream::from_std(socket.into())?);
@@ -96,6 +110,7 @@
             clock: driver.clock(),
             registry: registry.clone(),
             closed: Cell::new(false),
+            peer_knows_request_ids,
             buffer: RefCell::new(vec![0; MAX_PACKET_BYTES]),
             driver_wake_task: driver_wake_task.abort_handle(),
         }));
@@ -129,17 +144,19 @@
         }
     }
 
-    /// Converts a packet to a message for the routing engine. Returns `None` for [`PeerPacket::Closed`].
-    fn convert_packet(&self, packet: PeerPacket) -> Option<PeerMessage> {
+    /// Adds the content of a packet to `received`.
+    fn add_packet(&self, packet: PeerPacket, received: &mut ReceivedFromPeer) {
         match packet {
             PeerPacket::SessionWrite { session, commit_ms } => {
                 let commit = self.clock.from_unix_ms(commit_ms).as_secs_f64();
-                Some(PeerMessage::SessionWrite { session, commit })
+                received.messages.push(PeerMessage::SessionWrite { session, commit });
             }
             PeerPacket::ServerWithdrawn { name } => {
-                Some(PeerMessage::ServerWithdrawn(self.registry.borrow().server_id(&name)))
+                let server = self.registry.borrow().server_id(&name);
+                received.messages.push(PeerMessage::ServerWithdrawn(server));
             }
-            PeerPacket::Closed => None,
+            PeerPacket::ExecutedId { client_request_id } => received.executed_ids.push(client_request_id),
+            PeerPacket::Closed => self.closed.set(true),
         }
     }
 }
@@ -173,23 +190,27 @@
         }
     }
 
+    fn send_executed_id(&self, client_request_id: &str) {
+        if self.peer_knows_request_ids {
+            let client_request_id = client_request_id.to_owned();
+            self.send_packet(&PeerPacket::ExecutedId { client_request_id });
+        }
+    }
+
     fn close(&self) {
         self.send_packet(&PeerPacket::Closed);
     }
 
-    fn receive(&self) -> Vec<PeerMessage> {
-        let mut messages = Vec::new();
+    fn receive(&self) -> ReceivedFromPeer {
+        let mut received = ReceivedFromPeer::default();
         while !self.closed.get() {
             match self.receive_packet() {
-                Ok(Some(packet)) => match self.convert_packet(packet) {
-                    Some(message) => messages.push(message),
-                    None => self.closed.set(true),
-                },
+                Ok(Some(packet)) => self.add_packet(packet, &mut received),
                 Ok(None) => break,
                 // From now on the peer may acknowledge writes that this process does not learn of.
                 Err(_) => {
                     self.closed.set(true);
-                    messages.push(PeerMessage::PeerUnreachable(true));
+                    received.messages.push(PeerMessage::PeerUnreachable(true));
                 }
             }
         }
@@ -198,7 +219,7 @@
         let no_packets = || Err::<(), _>(io::ErrorKind::WouldBlock.into());
         let _ = self.socket.try_io(Interest::READABLE, no_packets);
         self.drained.notify_one();
-        messages
+        received
     }
 }
 
--- a/src/net/hot_restart/state.rs
+++ b/src/net/hot_restart/state.rs
@@ -22,18 +22,33 @@
     UnsupportedVersion { found: u32 },
 }
 
-/// First payload that a successor sends. A predecessor accepts only a hello that is equal to its own.
+/// First payload that a successor sends. A predecessor accepts only a hello of its own version and proxy
+/// instance.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Hello {
     version: u32,
     /// Name of the proxy instance.
     name: String,
+    /// Whether the sender knows packets with ids of requests on the peer channel.
+    #[serde(rename = "executed", default, skip_serializing_if = "std::ops::Not::not")]
+    pub(super) knows_request_ids: bool,
 }
 
 impl Hello {
     /// Creates the hello of this build for the proxy instance `name`.
     pub fn new(name: &str) -> Self {
-        Self { version: VERSION, name: name.to_owned() }
+        Self { version: VERSION, name: name.to_owned(), knows_request_ids: false }
+    }
+
+    /// States that the sender knows packets with ids of requests on the peer channel.
+    #[must_use]
+    pub fn with_request_ids(self) -> Self {
+        Self { knows_request_ids: true, ..self }
+    }
+
+    /// Returns whether the sender of `other` has the same version and proxy instance.
+    pub(super) fn matches(&self, other: &Self) -> bool {
+        self.version == other.version && self.name == other.name
     }
 
     pub(super) fn encode(&self) -> Result<Vec<u8>, StateError> {
@@ -67,6 +82,10 @@
     /// State of the routing engine.
     #[serde(rename = "heritage")]
     pub snapshot: StateSnapshot,
+    /// Ids of the requests that the predecessor may have executed; `None` from a build that does not know
+    /// packets with such ids either.
+    #[serde(rename = "executed", skip_serializing_if = "Option::is_none")]
+    pub executed_ids: Option<Vec<String>>,
 }
 
 impl HandoverState {
@@ -77,7 +96,20 @@
         server_names: Vec<(u32, String)>,
         snapshot: StateSnapshot,
     ) -> Self {
-        Self { version: VERSION, zero_unix_ms, endpoint_list: Some(endpoint_list), server_names, snapshot }
+        Self {
+            version: VERSION,
+            zero_unix_ms,
+            endpoint_list: Some(endpoint_list),
+            server_names,
+            snapshot,
+            executed_ids: None,
+        }
+    }
+
+    /// Adds the ids of the requests that this process may have executed.
+    #[must_use]
+    pub fn with_executed_ids(self, ids: Vec<String>) -> Self {
+        Self { executed_ids: Some(ids), ..self }
     }
 
     pub(super) fn encode(&self) -> Vec<u8> {
--- a/src/net/hot_restart/state/tests.rs
+++ b/src/net/hot_restart/state/tests.rs
@@ -107,3 +107,19 @@
     assert!(HandoverState::decode(br#"{"version":1}"#).is_err());
     assert!(HandoverState::decode(br#"{"version":3}"#).is_err());
 }
+
+#[test]
+fn the_field_for_ids_of_requests_is_optional_both_ways() {
+    let with_ids = br#"{"version":2,"name":"gw-a","executed":true}"#;
+    let hello = Hello::new("gw-a").with_request_ids();
+    assert_eq!(hello.encode().ok().as_deref(), Some(&with_ids[..]));
+    let older = Hello::decode(HELLO).expect("hello is decoded");
+    let newer = Hello::decode(with_ids).expect("hello is decoded");
+    assert!(older.matches(&newer) && newer.matches(&older));
+    assert_eq!((older.knows_request_ids, newer.knows_request_ids), (false, true));
+    let state = state().with_executed_ids(vec!["9b1f".to_owned()]);
+    let decoded = HandoverState::decode(&state.encode()).expect("state is decoded");
+    assert_eq!(decoded.executed_ids.as_deref(), Some(&["9b1f".to_owned()][..]));
+    let older = HandoverState::decode(STATE_FULL).expect("state is decoded");
+    assert_eq!(older.executed_ids, None);
+}
--- a/src/net/hot_restart/takeover.rs
+++ b/src/net/hot_restart/takeover.rs
@@ -131,9 +131,13 @@
     /// Connects the driver to this process's end of the peer channel. Without a usable peer channel, this
     /// process assumes that the predecessor acknowledges writes without a report.
     pub fn connect_peer(&mut self, resources: &SharedResources) {
+        let executed_ids = self.state.as_ref().and_then(|state| state.executed_ids.as_deref());
+        resources.driver.restore_executed_ids(executed_ids.unwrap_or_default());
+        let knows_request_ids = executed_ids.is_some();
+        let SharedResources { driver, registry, .. } = resources;
         let channel = self.peer_channel.take();
         let connected =
-            channel.map(|channel| PeerChannel::connect(&resources.driver, &resources.registry, channel));
+            channel.map(|channel| PeerChannel::connect(driver, registry, channel, knows_request_ids));
         if !matches!(connected, Some(Ok(()))) {
             resources.driver.peer_unreachable();
         }
