--- a/core/src/deduplication.rs
+++ b/core/src/deduplication.rs
@@ -201,8 +201,8 @@
     }
 }
 
-/// Returns the form in which an id is stored: the id, or two hashes of a long one. The hashes do not depend on
-/// the process, so that two processes recognize each other's ids.
+/// Returns the form in which an id is stored: the id, or two hashes of a long one. The hashes do not depend
+/// on the process, so that two processes recognize each other's ids.
 pub fn stored_id(id: &str) -> Cow<'_, str> {
     if id.len() <= MAX_PLAIN_ID_BYTES {
         return Cow::Borrowed(id);
