Discard what belongs to no result, and end replies that consist of it without end

What callers saw: a process over its memory limit, which is killed, while data servers answered with notices without end. Cause: each attempt kept all messages of its reply until the end, up to 8.4 MB, outside the pool's limits. Change: only result messages are kept; over 256 KiB of others make the reply invalid, with a warning that names server and size.

--- a/src/net/server/attempt.rs
+++ b/src/net/server/attempt.rs
@@ -10,7 +10,7 @@
 use super::query_result::{Query, QueryResult, RemainingResult};
 use super::reply::{read_reply, ExpectedReply, Reply};
 use super::ServerSide;
-use crate::api::Outcome;
+use crate::api::{Outcome, ServerId};
 use crate::net::driver::{AttemptCommand, AttemptResult};
 
 /// Stage of an attempt or of a health check.
@@ -36,7 +36,7 @@
         let outcome = match timeout_at(command.deadline, self.execute(command, &stage)).await {
             Ok(Ok(result)) => return result,
             Ok(Err(e)) => {
-                log::debug!("attempt failed at server {}: {e}", command.server.0);
+                self.log_attempt_error(command.server, &e);
                 outcome_of_error(stage.get(), &e)
             }
             Err(_) => outcome_of_timeout(stage.get()),
@@ -44,6 +44,16 @@
         AttemptResult::without_response(outcome)
     }
 
+    /// Logs the error of an attempt. An invalid reply is a fault of the server and logged as a warning.
+    fn log_attempt_error(&self, server: ServerId, error: &io::Error) {
+        log::debug!("attempt failed at server {}: {error}", server.0);
+        if error.kind() == io::ErrorKind::InvalidData {
+            if let Some(count) = self.invalid_replies.record() {
+                log::warn!("server {} sent an invalid reply: {error} ({count} invalid replies)", server.0);
+            }
+        }
+    }
+
     async fn execute(
         self: &Rc<Self>,
         command: &AttemptCommand<Query>,
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -30,6 +30,7 @@
 use crate::api::{AttemptId, ServerId};
 use crate::net::buffers::BufferPool;
 use crate::net::driver::{AttemptCommand, Driver, ServerCommand};
+use crate::net::log_limit::LogLimit;
 use connection_pool::ConnectionPool;
 
 /// Interval between checks for connections that have been idle for too long.
@@ -45,6 +46,8 @@
     connections: ConnectionPool,
     /// Attempts whose tasks run.
     attempts: RefCell<HashMap<AttemptId, AbortHandle>>,
+    /// Log lines about invalid replies of servers.
+    invalid_replies: LogLimit,
 }
 
 /// Executes the driver's commands until the driver is dropped. Must run inside a [`tokio::task::LocalSet`].
@@ -55,7 +58,13 @@
     buffers: BufferPool,
 ) {
     let connections = ConnectionPool::new(driver.clock(), options, buffers.clone());
-    let server_side = Rc::new(ServerSide { driver, buffers, connections, attempts: RefCell::default() });
+    let server_side = Rc::new(ServerSide {
+        driver,
+        buffers,
+        connections,
+        attempts: RefCell::default(),
+        invalid_replies: LogLimit::default(),
+    });
     let mut idle_check = tokio::time::interval(IDLE_CHECK_INTERVAL);
     loop {
         tokio::select! {
--- a/src/net/server/query_result.rs
+++ b/src/net/server/query_result.rs
@@ -123,7 +123,7 @@
         remaining_row_bytes: usize,
         uncommitted_session: Option<Rc<str>>,
     ) -> Self {
-        let reply = Reply::after_row(server_side.buffers.chain());
+        let reply = Reply::after_row(&server_side.buffers);
         Self {
             server_side: server_side.clone(),
             server,
--- a/src/net/server/reply.rs
+++ b/src/net/server/reply.rs
@@ -1,7 +1,8 @@
 //! Receives a data server's reply and validates it message by message.
 //!
 //! A reply that violates the protocol is rejected as a whole, since it may be part of another reply or
-//! arbitrary bytes.
+//! arbitrary bytes. Only the messages of the result are kept. All others, such as notices, are discarded once
+//! they are processed, and a reply may not consist of them without end.
 
 use std::io;
 use std::ops::Range;
@@ -24,6 +25,9 @@
 /// Largest size of a row message, in bytes, that is received and validated completely before its first byte
 /// is passed on.
 const MAX_BUFFERED_ROW_BYTES: usize = 64 * 1024 + 64;
+/// Largest number of bytes of a reply that belong to no message of its result. A server sends a few parameters
+/// and notices with a result.
+const MAX_DISCARDED_BYTES: usize = 256 * 1024;
 /// Size of a message header, in bytes: type and length.
 const HEADER_BYTES: usize = 5;
 /// Size of a row message without the bytes of its only column: header, column count, column length.
@@ -33,6 +37,18 @@
 /// SQLSTATE for internal errors. Replaces the code of an error that follows a message of the result.
 const INTERNAL_ERROR: [u8; 5] = *b"XX000";
 
+/// A reply contains too many bytes that belong to no message of its result.
+#[derive(Debug, thiserror::Error)]
+#[error("{discarded_bytes} bytes of the reply belong to no result")]
+struct EndlessReply {
+    discarded_bytes: usize,
+}
+
+/// Returns whether messages of this kind belong to the result of a query.
+fn is_result_message(kind: u8) -> bool {
+    matches!(kind, b'T' | b'D' | b'C')
+}
+
 /// Message that the proxy sent, which determines the messages that the reply may contain.
 #[derive(Clone, Copy, PartialEq)]
 pub(super) enum ExpectedReply {
@@ -45,15 +61,20 @@
 /// A reply that is complete or being received.
 pub(super) struct Reply {
     expected: ExpectedReply,
+    /// Received bytes.
     bytes: BufferChain,
     /// Offset in `bytes` of the first message that is not yet processed.
     next_message_at: usize,
+    /// Messages of the query result.
+    result: BufferChain,
+    /// Byte ranges in `result` of the messages of the query result.
+    result_messages: Vec<Range<usize>>,
+    /// Number of bytes that were processed and not kept.
+    discarded_bytes: usize,
     /// Body of the message that is being processed.
     scratch: Vec<u8>,
     /// Whether ReadyForQuery was received.
     is_ready: bool,
-    /// Byte ranges in `bytes` of the messages of the query result.
-    result_messages: Vec<Range<usize>>,
     /// Bytes of a large row that are not received yet; `None` unless a large row has begun.
     remaining_row_bytes: Option<usize>,
     is_authenticated: bool,
@@ -74,12 +95,12 @@
     stream: &TcpStream,
     expected: ExpectedReply,
 ) -> io::Result<Reply> {
-    let mut reply = Reply::new(buffers.chain(), expected);
+    let mut reply = Reply::new(buffers, expected);
     loop {
         if reply.process_messages().await? || reply.remaining_row_bytes.is_some() {
             return Ok(reply);
         }
-        let has_begun = !reply.bytes.is_empty();
+        let has_begun = reply.has_begun();
         let read = reply.bytes.read_from(stream);
         let count = if has_begun {
             // If a message's length field is wrong, the end of the reply never arrives.
@@ -96,14 +117,16 @@
 }
 
 impl Reply {
-    fn new(bytes: BufferChain, expected: ExpectedReply) -> Self {
+    fn new(buffers: &BufferPool, expected: ExpectedReply) -> Self {
         Self {
             expected,
-            bytes,
+            bytes: buffers.chain(),
             next_message_at: 0,
+            result: buffers.chain(),
+            result_messages: Vec::new(),
+            discarded_bytes: 0,
             scratch: Vec::new(),
             is_ready: false,
-            result_messages: Vec::new(),
             remaining_row_bytes: None,
             is_authenticated: false,
             sqlstate: None,
@@ -114,36 +137,72 @@
     }
 
     /// Creates the reply that receives the messages after a large row, which is passed on separately.
-    pub(super) fn after_row(bytes: BufferChain) -> Self {
-        let mut reply = Self::new(bytes, ExpectedReply::QueryResult);
+    pub(super) fn after_row(buffers: &BufferPool) -> Self {
+        let mut reply = Self::new(buffers, ExpectedReply::QueryResult);
         reply.result_messages = vec![0..0; RESULT_MESSAGES - 1];
         reply
     }
 
+    /// Returns whether any byte of the reply was received.
+    fn has_begun(&self) -> bool {
+        !self.bytes.is_empty() || !self.result.is_empty() || self.discarded_bytes > 0
+    }
+
     /// Processes the messages that are received completely. Returns whether the last one was ReadyForQuery.
     pub(super) async fn process_messages(&mut self) -> io::Result<bool> {
         while let Some(bytes) = self.bytes.array::<HEADER_BYTES>(self.next_message_at) {
             let header = postgres::parse_header(bytes).ok_or(io::ErrorKind::InvalidData)?;
-            let start = self.next_message_at;
-            let end = start.saturating_add(header.length);
-            if !postgres::is_plausible_length(header) || end > postgres::MAX_RESPONSE_BYTES {
+            if !postgres::is_plausible_length(header) || header.length > postgres::MAX_RESPONSE_BYTES {
                 return Err(io::ErrorKind::InvalidData.into());
             }
+            let start = self.next_message_at;
+            let end = start + header.length;
             if end > self.bytes.len() {
                 self.check_large_row(header)?;
-                return Ok(false);
+                break;
             }
             charge(Work::Message).await;
             self.next_message_at = end;
             self.bytes.copy(start + HEADER_BYTES..end, &mut self.scratch);
-            self.process_message(header.kind, start..end).ok_or(io::ErrorKind::InvalidData)?;
+            self.process_message(header.kind).ok_or(io::ErrorKind::InvalidData)?;
+            self.keep_or_discard(header, start..end)?;
             if self.is_ready {
                 return Ok(true);
             }
         }
+        self.remove_processed();
         Ok(false)
     }
 
+    /// Removes the processed messages from the received bytes.
+    fn remove_processed(&mut self) {
+        if self.next_message_at > 0 {
+            self.bytes.split_to(self.next_message_at);
+            self.next_message_at = 0;
+        }
+    }
+
+    /// Adds a processed message, which is at `range` of the received bytes, to the result if it belongs there.
+    fn keep_or_discard(&mut self, header: MessageHeader, range: Range<usize>) -> io::Result<()> {
+        if is_result_message(header.kind) {
+            self.keep(range);
+            return Ok(());
+        }
+        self.discarded_bytes += header.length;
+        if self.discarded_bytes > MAX_DISCARDED_BYTES {
+            let error = EndlessReply { discarded_bytes: self.discarded_bytes };
+            return Err(io::Error::new(io::ErrorKind::InvalidData, error));
+        }
+        Ok(())
+    }
+
+    /// Adds a message, or the received part of one, to the result.
+    fn keep(&mut self, range: Range<usize>) {
+        let start = self.result.len();
+        self.bytes.slices(range).for_each(|slice| self.result.extend(slice));
+        self.result_messages.push(start..self.result.len());
+    }
+
     /// Validates the start of a large row. The row can then be passed on in chunks, without buffering all of
     /// it.
     fn check_large_row(&mut self, header: MessageHeader) -> io::Result<()> {
@@ -160,14 +219,16 @@
         if !is_valid || self.result_messages.len() != 1 || self.sqlstate.is_some() {
             return Err(io::ErrorKind::InvalidData.into());
         }
-        self.result_messages.push(self.next_message_at..self.bytes.len());
-        self.remaining_row_bytes = Some(self.next_message_at + header.length - self.bytes.len());
+        let received = self.next_message_at..self.bytes.len();
+        self.remaining_row_bytes = Some(header.length - received.len());
+        self.next_message_at = received.end;
+        self.keep(received);
         Ok(())
     }
 
     /// Processes a message whose body is in `scratch`. Returns `None` if the protocol does not allow the
     /// message here.
-    fn process_message(&mut self, kind: u8, range: Range<usize>) -> Option<()> {
+    fn process_message(&mut self, kind: u8) -> Option<()> {
         let expects_result = self.expected == ExpectedReply::QueryResult;
         let has_no_error = self.sqlstate.is_none();
         let body = &self.scratch[..];
@@ -187,9 +248,6 @@
             (b'C', 2) => has_no_error && postgres::is_command_tag(body),
             _ => false,
         };
-        if matches!(kind, b'T' | b'D' | b'C') {
-            self.result_messages.push(range);
-        }
         is_valid.then_some(())
     }
 
@@ -250,7 +308,7 @@
     /// Returns the CommandComplete message, buffer by buffer; `None` until it is received.
     pub(super) fn command_complete(&self) -> Option<impl Iterator<Item = &[u8]>> {
         let range = self.result_messages.get(RESULT_MESSAGES - 1)?;
-        Some(self.bytes.slices(range.clone()))
+        Some(self.result.slices(range.clone()))
     }
 
     /// Returns whether the reply contains a complete query result and no error.
@@ -266,7 +324,7 @@
 
     /// Returns the query result: all of it, or the received part of a large one.
     pub(super) fn into_query_result(self) -> QueryResult {
-        QueryResult::new(self.bytes, self.result_messages)
+        QueryResult::new(self.result, self.result_messages)
     }
 
     /// Returns the attempt's result.
@@ -299,7 +357,7 @@
     pub(super) fn health_check_load_report(&self, clock: Clock) -> Option<LoadReport> {
         let mut row = Vec::new();
         let range = self.result_messages.get(1)?;
-        self.bytes.copy(range.start + HEADER_BYTES..range.end, &mut row);
+        self.result.copy(range.start + HEADER_BYTES..range.end, &mut row);
         let text = std::str::from_utf8(postgres::parse_single_column(&row)?).ok()?;
         text.contains('=').then(|| load_report::parse(text, clock))
     }
