Make an interrupted read or write again instead of ending its connection

What callers saw: in tests with EINTR, connections that ended without an answer and requests that failed at a healthy server. Cause: the loops over reads and writes took every error but WouldBlock for the end of the connection.

--- a/src/net/buffers/chain.rs
+++ b/src/net/buffers/chain.rs
@@ -6,6 +6,7 @@
 use tokio::net::TcpStream;
 
 use super::pool::{Buffer, BufferPool, BUFFER_BYTES};
+use crate::net::retry::is_transient;
 use crate::net::turn::{charge, Work};
 
 /// A sequence of bytes in pooled buffers. All buffers except the last are full.
@@ -95,7 +96,7 @@
             charge(Work::SystemCall).await;
             stream.readable().await?;
             match self.try_read_from(stream) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                Err(e) if is_transient(&e) => {}
                 other => return other,
             }
         }
--- a/src/net/buffers/write.rs
+++ b/src/net/buffers/write.rs
@@ -4,6 +4,7 @@
 
 use tokio::net::TcpStream;
 
+use crate::net::retry::is_transient;
 use crate::net::turn::{charge, Work};
 
 /// Writes all bytes of all slices, waiting while the socket is not writable.
@@ -19,7 +20,7 @@
         match stream.try_write_vectored(remaining) {
             Ok(0) => return Err(io::ErrorKind::WriteZero.into()),
             Ok(written) => IoSlice::advance_slices(&mut remaining, written),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => stream.writable().await?,
+            Err(e) if is_transient(&e) => stream.writable().await?,
             Err(e) => return Err(e),
         }
     }
--- a/src/net/client/inbound.rs
+++ b/src/net/client/inbound.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
+use rustix::io::retry_on_intr;
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, Instant};
@@ -18,6 +19,7 @@
 use super::query_counter::QueryCounter;
 use crate::net::buffers::{self, BufferChain, BufferPool};
 use crate::net::driver::ClientHandle;
+use crate::net::retry::retry_if_interrupted;
 use crate::net::turn::{charge, Work};
 
 /// Reads within this time of each other share one record; the difference does not matter for a request's
@@ -57,7 +59,8 @@
     /// Asks the kernel, which reports a close even if received bytes before it have not been read.
     fn is_disconnected(&self) -> bool {
         let mut polled = [PollFd::new(self, PollFlags::RDHUP)];
-        poll(&mut polled, Some(&Timespec::default())).is_ok_and(|ready| ready > 0)
+        let ready = retry_on_intr(|| poll(&mut polled, Some(&Timespec::default())));
+        ready.is_ok_and(|ready| ready > 0)
     }
 }
 
@@ -92,7 +95,8 @@
     /// Returns whether the kernel has received bytes that were not read. The runtime learns of received bytes
     /// only when it polls.
     pub(super) fn has_unread_bytes(&self) -> bool {
-        let unread = SockRef::from(&*self.stream).peek(&mut [MaybeUninit::uninit()]);
+        let socket = SockRef::from(&*self.stream);
+        let unread = retry_if_interrupted(|| socket.peek(&mut [MaybeUninit::uninit()]));
         unread.is_ok_and(|count| count > 0)
     }
 
--- a/src/net/hot_restart/peer_channel.rs
+++ b/src/net/hot_restart/peer_channel.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 use pipittack_core::api::PeerMessage;
-use rustix::io::Errno;
+use rustix::io::{retry_on_intr, Errno};
 use rustix::net::{
     recv, send, shutdown, socketpair, AddressFamily, RecvFlags, SendFlags, Shutdown, SocketFlags, SocketType,
 };
@@ -122,7 +122,7 @@
         let bytes = serde_json::to_vec(packet).unwrap_or_default();
         let fits = !bytes.is_empty() && bytes.len() <= MAX_PACKET_BYTES;
         let flags = SendFlags::DONTWAIT | SendFlags::NOSIGNAL;
-        let sent = fits && send(self.socket.as_fd(), &bytes, flags).is_ok();
+        let sent = fits && retry_on_intr(|| send(self.socket.as_fd(), &bytes, flags)).is_ok();
         if !sent {
             let _ = shutdown(self.socket.as_fd(), Shutdown::Write); // fails if the peer has closed its end
         }
@@ -132,15 +132,12 @@
     /// the channel, and for a packet that cannot be decoded.
     fn receive_packet(&self) -> io::Result<Option<PeerPacket>> {
         let mut buffer = self.buffer.borrow_mut();
-        loop {
-            // Calls `recv` directly, since the runtime's readiness state is as old as its last poll.
-            match recv(self.socket.as_fd(), &mut buffer[..], RecvFlags::DONTWAIT) {
-                Ok((0, _)) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Ok((length, _)) => return Ok(Some(serde_json::from_slice(&buffer[..length])?)),
-                Err(Errno::AGAIN) => return Ok(None),
-                Err(Errno::INTR) => {}
-                Err(e) => return Err(e.into()),
-            }
+        // Calls `recv` directly, since the runtime's readiness state is as old as its last poll.
+        match retry_on_intr(|| recv(self.socket.as_fd(), &mut buffer[..], RecvFlags::DONTWAIT)) {
+            Ok((0, _)) => Err(io::ErrorKind::UnexpectedEof.into()),
+            Ok((length, _)) => Ok(Some(serde_json::from_slice(&buffer[..length])?)),
+            Err(Errno::AGAIN) => Ok(None),
+            Err(e) => Err(e.into()),
         }
     }
 
--- a/src/net/hot_restart/socket.rs
+++ b/src/net/hot_restart/socket.rs
@@ -7,6 +7,7 @@
 use std::mem::MaybeUninit;
 use std::os::fd::{BorrowedFd, OwnedFd};
 
+use rustix::io::retry_on_intr;
 use rustix::net::{
     recvmsg, sendmsg, RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer,
     SendAncillaryMessage, SendFlags,
@@ -14,6 +15,7 @@
 use tokio::io::Interest;
 use tokio::net::UnixStream;
 
+use crate::net::retry::is_transient;
 use crate::net::turn::{charge, Work};
 
 /// Largest number of bytes per read.
@@ -41,7 +43,8 @@
         if !descriptors.is_empty() {
             control.push(SendAncillaryMessage::ScmRights(&descriptors));
         }
-        Ok(sendmsg(stream, &[IoSlice::new(bytes)], &mut control, SendFlags::NOSIGNAL)?)
+        let slices = [IoSlice::new(bytes)];
+        Ok(retry_on_intr(|| sendmsg(stream, &slices, &mut control, SendFlags::NOSIGNAL))?)
     };
     stream.async_io(Interest::WRITABLE, write).await
 }
@@ -54,7 +57,7 @@
         stream.writable().await?;
         match stream.try_write(&bytes[sent..]) {
             Ok(length) => sent += length,
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) if is_transient(&e) => {}
             Err(e) => return Err(e),
         }
     }
@@ -67,7 +70,8 @@
     let read = || {
         let mut space = [MaybeUninit::uninit(); rustix::cmsg_space!(ScmRights(1))];
         let mut control = RecvAncillaryBuffer::new(&mut space);
-        let message = recvmsg(stream, &mut [IoSliceMut::new(buffer)], &mut control, RecvFlags::CMSG_CLOEXEC)?;
+        let mut slices = [IoSliceMut::new(buffer)];
+        let message = retry_on_intr(|| recvmsg(stream, &mut slices, &mut control, RecvFlags::CMSG_CLOEXEC))?;
         let mut descriptors = control.drain().filter_map(|ancillary| match ancillary {
             RecvAncillaryMessage::ScmRights(mut descriptors) => descriptors.next(),
             _ => None,
@@ -88,7 +92,7 @@
         match stream.try_read(&mut chunk[..wanted]) {
             Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
             Ok(received) => content.extend_from_slice(&chunk[..received]),
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) if is_transient(&e) => {}
             Err(e) => return Err(e),
         }
     }
@@ -101,7 +105,7 @@
         charge(Work::SystemCall).await;
         match stream.try_read(&mut [0; 4096]) {
             Ok(length) if length > 0 => {}
-            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+            Err(e) if is_transient(&e) => {}
             _ => return,
         }
     }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 //! [`admin`] serves the API for operators, and [`hot_restart`] hands over to a new process. [`postgres`]
 //! implements the wire protocol, and [`buffers`] the buffer pool. [`turn`] bounds what a task does for one peer
 //! before all other tasks run, and [`log_limit`] how often a peer can cause a log line.
+//! [`retry`] repeats interrupted system calls.
 
 pub mod admin;
 pub mod buffers;
@@ -14,5 +15,6 @@
 pub mod hot_restart;
 pub mod log_limit;
 pub mod postgres;
+pub mod retry;
 pub mod server;
 pub mod turn;
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -123,13 +123,25 @@
 pub fn start_proxy_with_config(config: &str, endpoints: &[String], state_dir: Option<&Path>) -> Proxy {
     let discovery = ScriptedDiscovery::start(full_list(1, endpoints));
     let discovery_address = discovery.address;
-    spawn_proxy(config, endpoints, state_dir, discovery, discovery_address)
+    spawn_proxy(config, endpoints, state_dir, discovery, discovery_address, &[])
+}
+
+/// Starts a proxy like [`start_proxy_with_config`], with these environment variables.
+pub fn start_proxy_with_environment(
+    config: &str,
+    endpoints: &[String],
+    state_dir: Option<&Path>,
+    environment: &[(&str, &Path)],
+) -> Proxy {
+    let discovery = ScriptedDiscovery::start(full_list(1, endpoints));
+    let discovery_address = discovery.address;
+    spawn_proxy(config, endpoints, state_dir, discovery, discovery_address, environment)
 }
 
 /// Starts a proxy like [`start_proxy`], with this configuration and the discovery service at `address`, which
 /// the test runs itself.
 pub fn start_proxy_with_discovery_at(config: &str, endpoints: &[String], address: SocketAddr) -> Proxy {
-    spawn_proxy(config, endpoints, None, ScriptedDiscovery::start(full_list(1, endpoints)), address)
+    spawn_proxy(config, endpoints, None, ScriptedDiscovery::start(full_list(1, endpoints)), address, &[])
 }
 
 fn spawn_proxy(
@@ -138,6 +150,7 @@
     state_dir: Option<&Path>,
     discovery: ScriptedDiscovery,
     discovery_address: SocketAddr,
+    environment: &[(&str, &Path)],
 ) -> Proxy {
     let known = format!(r#""known": {}, "settings""#, full_list(1, endpoints));
     let config = config
@@ -147,6 +160,7 @@
         .replace(r#""settings""#, &known);
     let (mut command, config_path) = serve_command(&config);
     state_dir.map(|state_dir| command.env("TMPDIR", state_dir));
+    command.envs(environment.iter().copied());
     let mut child = ChildGuard::spawn(&mut command);
     let mut log_lines = BufReader::new(child.stderr.take().expect("stderr is piped")).lines();
     let mut address_after = |text: &str| loop {
--- /dev/null
+++ b/tests/system_faults.rs
@@ -0,0 +1,144 @@
+//! System calls that fail as Linux documents: every request keeps its answer, and service goes on once they
+//! succeed again.
+
+mod support;
+
+use std::fs;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use pipittack_testkit::scripted_server::{ScriptedServer, ServerRole};
+use rstest::rstest;
+use support::*;
+
+const EINTR: i64 = 4;
+const ENOMEM: i64 = 12;
+const ENFILE: i64 = 23;
+const EMFILE: i64 = 24;
+const EADDRNOTAVAIL: i64 = 99;
+const ENETUNREACH: i64 = 101;
+const ECONNABORTED: i64 = 103;
+const ENOBUFS: i64 = 105;
+const ETIMEDOUT: i64 = 110;
+const EHOSTUNREACH: i64 = 113;
+/// Stands for a transfer of a single byte.
+const SHORT: i64 = 0;
+
+const TIMEOUT_MS: u64 = 1000;
+/// A response up to half a second after its time is late; a later one is lost.
+const MAX_RESPONSE_TIME: Duration = Duration::from_millis(TIMEOUT_MS + 500);
+/// Time for which a call fails.
+const FAULT_PERIOD: Duration = Duration::from_millis(400);
+/// Time within which requests are served again once the calls succeed.
+const MAX_RECOVERY_TIME: Duration = Duration::from_secs(3);
+/// Largest processor time, in clock ticks of 10 ms, that a proxy uses while a call fails.
+const MAX_TICKS: u64 = 25;
+
+/// Returns the number of open descriptors of a process.
+fn open_descriptors(proxy: &Proxy) -> usize {
+    fs::read_dir(format!("/proc/{}/fd", proxy.child.id())).expect("the process runs").count()
+}
+
+/// Returns the processor time that a process has used, in clock ticks.
+fn processor_ticks(proxy: &Proxy) -> u64 {
+    let stat = fs::read_to_string(format!("/proc/{}/stat", proxy.child.id())).expect("the process runs");
+    let (_, fields) = stat.rsplit_once(") ").expect("the name is in parentheses");
+    let fields: Vec<_> = fields.split(' ').collect();
+    [11, 12].iter().map(|field: &usize| fields[*field].parse::<u64>().expect("a number")).sum()
+}
+
+/// Sends a read on an open connection and asserts that it is answered in time. Returns whether it was served.
+#[track_caller]
+fn assert_answered(client: &mut Client, id: &str) -> bool {
+    let sent_at = Instant::now();
+    let kinds = message_kinds(&client.request(&read_statement_with_id(id, TIMEOUT_MS)));
+    let time = sent_at.elapsed();
+    assert!(["TDCZ", "EZ"].contains(&kinds.as_str()), "request {id}: {kinds:?} after {time:?}");
+    assert!(time < MAX_RESPONSE_TIME, "request {id} took {time:?}");
+    kinds == "TDCZ"
+}
+
+#[track_caller]
+fn assert_service_recovers(proxy: &Proxy) {
+    let started = Instant::now();
+    let mut client = Client::connect(proxy);
+    let mut number = 0;
+    while !assert_answered(&mut client, &format!("recovered-{number}")) {
+        number += 1;
+        assert!(started.elapsed() < MAX_RECOVERY_TIME, "expected requests to be served again");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Guards against calls that fail at times, as they do when a signal interrupts them or a transfer is short: each
+/// request is served all the same.
+#[rstest]
+#[case::recv_interrupted("recv", EINTR, 2)]
+#[case::recv_short("recv", SHORT, 2)]
+#[case::recv_byte_by_byte("recv", SHORT, 1)]
+#[case::writev_interrupted("writev", EINTR, 2)]
+#[case::writev_short("writev", SHORT, 2)]
+#[case::writev_byte_by_byte("writev", SHORT, 1)]
+#[case::accept_interrupted("accept", EINTR, 2)]
+#[case::accept_aborted("accept", ECONNABORTED, 2)]
+#[case::connect_interrupted("connect", EINTR, 2)]
+#[case::connect_without_port("connect", EADDRNOTAVAIL, 2)]
+#[case::socket_without_memory("socket", ENOBUFS, 2)]
+fn calls_that_fail_at_times_cost_no_request(#[case] call: &str, #[case] errno: i64, #[case] every: u32) {
+    let server = ScriptedServer::start(ServerRole::Primary, reply_with_row);
+    let endpoints = [server.endpoint("a", "read-write", "Ready")];
+    let faults = SystemFaults::new(&format!("times-{call}-{errno}-{every}"));
+    let proxy = faults.start_proxy(EXAMPLE_CONFIG, &endpoints, None);
+    let mut open = Client::connect(&proxy);
+    faults.set(call, errno, every);
+    for round in 0..10 {
+        server.close_all(); // the next request needs a new connection to the server
+        thread::sleep(Duration::from_millis(5));
+        assert!(assert_answered(&mut open, &format!("open-{round}")), "request {round} was not served");
+        let mut new = Client::connect(&proxy);
+        let kinds = message_kinds(&new.request(&write_statement(TIMEOUT_MS as u32)));
+        assert_eq!(kinds, "TDCZ", "write {round}");
+    }
+}
+
+/// Guards against calls that fail for a while: requests on open connections are answered in time, the process does
+/// not spin, and afterwards it serves as before with as many descriptors as before.
+#[rstest]
+#[case::accept_table_full("accept", ENFILE)]
+#[case::accept_no_descriptor("accept", EMFILE)]
+#[case::accept_no_buffers("accept", ENOBUFS)]
+#[case::accept_no_memory("accept", ENOMEM)]
+#[case::accept_aborted("accept", ECONNABORTED)]
+#[case::accept_interrupted("accept", EINTR)]
+#[case::connect_no_port("connect", EADDRNOTAVAIL)]
+#[case::connect_no_network("connect", ENETUNREACH)]
+#[case::connect_no_host("connect", EHOSTUNREACH)]
+#[case::connect_timed_out("connect", ETIMEDOUT)]
+#[case::connect_interrupted("connect", EINTR)]
+#[case::socket_table_full("socket", ENFILE)]
+#[case::socket_no_buffers("socket", ENOBUFS)]
+fn calls_that_fail_for_a_while_cost_no_answer(#[case] call: &str, #[case] errno: i64) {
+    let server = ScriptedServer::start(ServerRole::Primary, reply_with_row);
+    let endpoints = [server.endpoint("a", "read-write", "Ready")];
+    let faults = SystemFaults::new(&format!("while-{call}-{errno}"));
+    let proxy = faults.start_proxy(EXAMPLE_CONFIG, &endpoints, None);
+    let mut client = Client::connect(&proxy);
+    assert!(assert_answered(&mut client, "before"));
+    let descriptors = open_descriptors(&proxy);
+    faults.set(call, errno, 1);
+    let (started, ticks) = (Instant::now(), processor_ticks(&proxy));
+    let waiting = Client::open(&proxy); // stays in the accept queue while accept fails
+    server.close_all();
+    let mut number = 0;
+    while started.elapsed() < FAULT_PERIOD {
+        number += 1;
+        assert_answered(&mut client, &format!("during-{number}"));
+        thread::sleep(Duration::from_millis(10));
+    }
+    let used = processor_ticks(&proxy) - ticks;
+    faults.clear();
+    assert!(used <= MAX_TICKS, "the proxy used {used} ticks in {:?}", started.elapsed());
+    drop(waiting);
+    assert_service_recovers(&proxy);
+    wait_until("the descriptors are closed", || open_descriptors(&proxy) <= descriptors + 1);
+}
