Go on accepting the clients in the queue of a closing listener after an error

What callers saw: requests on connections in the accept queue of an ending process were reset when one accept failed. Cause: the loop that empties the queue ended at the first error but EINTR. The socket for successors closed for 10 s after any error. Change: both go on, with a pause of 1 ms, or 20 ms where descriptors or memory are short; then an idle client is evicted. The warning comes once in 10 s, with a count.

--- a/src/net/admin/server.rs
+++ b/src/net/admin/server.rs
@@ -13,11 +13,13 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::{spawn_local, AbortHandle};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
 use super::http::{parse_call, AdminCall, HttpStatus, Response};
 use super::AdminApi;
 use crate::net::buffers::{self, write_all, BufferPool};
+use crate::net::log_limit::LogLimit;
+use crate::net::retry::pause_after_accept_error;
 use crate::net::turn::{charge, Work};
 
 /// Largest number of open connections.
@@ -26,8 +28,6 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time limit for reading and discarding what the caller sends after the proxy has shut down writing.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
-/// Pause after a failed accept.
-const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 /// End of the head of a call: the line end of the last line, and the empty line.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -52,13 +52,16 @@
 /// Accepts connections and answers calls. Never returns. Must run inside a [`tokio::task::LocalSet`].
 pub async fn run(listener: TcpListener, api: Rc<AdminApi>, pool: BufferPool) {
     let mut connections: VecDeque<AbortHandle> = VecDeque::new();
+    let accept_errors = LogLimit::default();
     loop {
         charge(Work::Message).await;
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
             Err(e) => {
-                log::warn!("accept failed on the admin listener: {e}");
-                sleep(ACCEPT_RETRY_INTERVAL).await;
+                if let Some(count) = accept_errors.record() {
+                    log::warn!("accept failed on the admin listener: {e} ({count} errors)");
+                }
+                pause_after_accept_error(&e).await;
                 continue;
             }
         };
--- a/src/net/client/service.rs
+++ b/src/net/client/service.rs
@@ -17,6 +17,7 @@
 use crate::api::Settings;
 use crate::net::buffers::BufferPool;
 use crate::net::hot_restart::frame::Successor;
+use crate::net::retry::{is_resource_shortage, pause_after_accept_error};
 use crate::net::server::PgDriver;
 use crate::net::turn::{charge, Work};
 
@@ -33,8 +34,6 @@
 /// Time from the first failing health check to the closing of idle connections. The load balancer checks
 /// every 0.1 s and may send clients for 0.2 s after a failed check.
 const OUT_OF_SERVICE_NOTICE_PERIOD: Duration = Duration::from_millis(600);
-/// Pause after a failed accept. The accept loop then continues; the pause keeps the loop from spinning.
-const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 const LISTEN_BACKLOG: u32 = 1024;
 
 /// Options of the client side.
@@ -118,7 +117,8 @@
     }
 
     /// Accepts the connections left in the accept queue, which the kernel has already established. Calls
-    /// `accept` directly, since the runtime's readiness state is as old as its last poll.
+    /// `accept` directly, since the runtime's readiness state is as old as its last poll. Goes on after an error
+    /// until the process ends: a client in the queue may have sent a request.
     async fn drain_accept_queue(&self, listener: TcpListener) -> io::Result<()> {
         let queue = listener.into_std()?;
         loop {
@@ -129,8 +129,7 @@
                     self.admit(TcpStream::from_std(stream).map(|stream| (stream, peer))).await;
                 }
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
-                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
-                Err(e) => return Err(e),
+                Err(e) => self.accept_failed(&e).await,
             }
         }
     }
@@ -138,10 +137,7 @@
     async fn admit(&self, accepted: io::Result<(TcpStream, SocketAddr)>) {
         let stream = match accepted {
             Ok((stream, _)) => stream,
-            Err(e) => {
-                log::warn!("accept failed on the client listener: {e}");
-                return tokio::time::sleep(ACCEPT_RETRY_INTERVAL).await;
-            }
+            Err(e) => return self.accept_failed(&e).await,
         };
         let shared = &self.0;
         let limit = self.limit();
@@ -158,6 +154,18 @@
         connection::spawn(shared, stream, InitialStage::Startup { at_limit, short_deadline });
     }
 
+    /// Logs an error of `accept` if a log line is due, and pauses. If descriptors or memory are short, evicts an
+    /// idle connection.
+    async fn accept_failed(&self, error: &io::Error) {
+        if let Some(count) = self.0.accept_errors.record() {
+            log::warn!("accept failed on the client listener: {error} ({count} errors)");
+        }
+        if is_resource_shortage(error) {
+            self.0.connections.evict_one();
+        }
+        pause_after_accept_error(error).await;
+    }
+
     fn needs_eviction(&self) -> bool {
         let reserved_clients = self.0.reserved_clients().min(self.limit());
         self.0.connections.len() as f64 >= reserved_clients as f64 * EVICTION_THRESHOLD_SHARE
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -51,6 +51,8 @@
     sockets: SocketShare,
     /// Log lines about clients that are rejected because the client limit is reached.
     rejections: LogLimit,
+    /// Log lines about errors of `accept`.
+    pub accept_errors: LogLimit,
     /// Log lines about connections that are closed with an error.
     connection_errors: LogLimit,
 }
@@ -76,6 +78,7 @@
             shutdown_notify: Notify::new(),
             sockets: SocketShare::new(max_clients, reserved_clients, sockets),
             rejections: LogLimit::default(),
+            accept_errors: LogLimit::default(),
             connection_errors: LogLimit::default(),
         }
     }
--- a/src/net/hot_restart/handover.rs
+++ b/src/net/hot_restart/handover.rs
@@ -21,6 +21,7 @@
 use super::socket::wait_until_closed;
 use super::state::{HandoverState, Hello};
 use super::successor::Successor;
+use crate::net::retry::pause_after_accept_error;
 
 // Re-export for the program, which imports the type from this module. `hot_restart` re-exports it as well.
 pub use super::shared_resources::SharedResources;
@@ -50,8 +51,20 @@
         let _ = std::fs::remove_file(&self.path); // an exited process may have left the file
         let listener = UnixListener::bind(&self.path)?;
         self.inode = inode(&self.path);
-        let (stream, _) = listener.accept().await?;
-        Ok(stream)
+        Ok(accept_next(&listener).await)
+    }
+}
+
+/// Accepts the next connection. An error does not end the wait: without it, no successor would find this process.
+async fn accept_next(listener: &UnixListener) -> UnixStream {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => return stream,
+            Err(e) => {
+                log::debug!("accept failed on the handover socket: {e}");
+                pause_after_accept_error(&e).await;
+            }
+        }
     }
 }
 
--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use pipittack_testkit::scripted_server::{ScriptedServer, ServerRole};
+use pipittack_testkit::wire::query;
 use rstest::rstest;
 use support::*;
 
@@ -27,6 +28,8 @@
 const TIMEOUT_MS: u64 = 1000;
 /// A response up to half a second after its time is late; a later one is lost.
 const MAX_RESPONSE_TIME: Duration = Duration::from_millis(TIMEOUT_MS + 500);
+/// Time after SIGTERM at which a proxy without clients has closed its listener.
+const UNTIL_LISTENER_CLOSES: Duration = Duration::from_millis(900);
 /// Time for which a call fails.
 const FAULT_PERIOD: Duration = Duration::from_millis(400);
 /// Time within which requests are served again once the calls succeed.
@@ -142,3 +145,29 @@
     assert_service_recovers(&proxy);
     wait_until("the descriptors are closed", || open_descriptors(&proxy) <= descriptors + 1);
 }
+
+/// Guards against a shutdown that drops the clients in the accept queue because one accept fails.
+#[rstest]
+#[case::interrupted(EINTR)]
+#[case::aborted(ECONNABORTED)]
+#[case::table_full(ENFILE)]
+#[case::no_buffers(ENOBUFS)]
+fn a_shutdown_answers_the_clients_in_the_accept_queue_although_accept_fails(#[case] errno: i64) {
+    let server = ScriptedServer::start(ServerRole::Primary, reply_with_row);
+    let endpoints = [server.endpoint("a", "read-write", "Ready")];
+    let faults = SystemFaults::new(&format!("queue-{errno}"));
+    let proxy = faults.start_proxy(EXAMPLE_CONFIG, &endpoints, None);
+    faults.set("accept", errno, 1);
+    let statement = |number| query(&read_statement_with_id(&format!("queued-{number}"), TIMEOUT_MS));
+    let mut clients: Vec<_> = (0..8).map(|_| Client::open(&proxy)).collect();
+    for (number, client) in clients.iter_mut().enumerate() {
+        client.send(&[pipittack_testkit::wire::startup(), statement(number)].concat());
+    }
+    proxy.signal("TERM");
+    thread::sleep(UNTIL_LISTENER_CLOSES);
+    faults.set("accept", errno, 2);
+    for client in &mut clients {
+        let kinds = message_kinds(&[client.read_response(), client.read_response()].concat());
+        assert!(["RZTDCZ", "RZEZ"].contains(&kinds.as_str()), "{kinds:?}");
+    }
+}
