Sync a change by operators before it is acknowledged, and read again what failed to be read

What operators saw: a change answered with 200 could be lost by a failing disk, a failed one left half a file, and a change by the other process was never applied if reading it failed once. Cause: no sync before the answer; the version of the file was noted before the read. Change: sync of file and folder, removal of what a failed change leaves, and another read after a failed one.

--- a/src/components.rs
+++ b/src/components.rs
@@ -17,6 +17,7 @@
 use pipittack::net::discovery::{EndpointRegistry, SharedEndpointRegistry};
 use pipittack::net::hot_restart::frame::{Hello, Predecessor};
 use pipittack::net::hot_restart::handover::{self, SharedResources};
+use pipittack::net::log_limit::LogLimit;
 use pipittack::net::server::PgDriver;
 use pipittack::settings::NameTable;
 use tokio::net::TcpListener;
@@ -83,6 +84,7 @@
             clients: clients.clone(),
             out_of_service: OutOfServiceList::new(state_files.out_of_service_list()),
             ready: Cell::new(false),
+            reload_errors: LogLimit::default(),
         });
         Self { driver, registry, clients, admin }
     }
--- a/src/net/admin/mod.rs
+++ b/src/net/admin/mod.rs
@@ -10,6 +10,7 @@
 
 use crate::net::client::ClientService;
 use crate::net::discovery::SharedEndpointRegistry;
+use crate::net::log_limit::LogLimit;
 use crate::net::server::PgDriver;
 
 mod http;
@@ -38,6 +39,8 @@
     pub out_of_service: OutOfServiceList,
     /// Whether this process accepts clients and has an endpoint list, or has waited long enough for one.
     pub ready: Cell<bool>,
+    /// Log lines about errors in reloading the list of servers that are out of service.
+    pub reload_errors: LogLimit,
 }
 
 impl AdminApi {
@@ -56,7 +59,11 @@
     pub fn reload_out_of_service_list(&self) {
         match self.out_of_service.reload() {
             Ok(changes) => changes.iter().for_each(|change| self.apply_state(&change.name, change.state)),
-            Err(e) => log::warn!("reloading the out-of-service list failed: {e}"),
+            Err(e) => {
+                if let Some(count) = self.reload_errors.record() {
+                    log::warn!("reloading the out-of-service list failed: {e} ({count} errors)");
+                }
+            }
         }
     }
 
--- a/src/net/admin/out_of_service.rs
+++ b/src/net/admin/out_of_service.rs
@@ -6,7 +6,8 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
-use std::io;
+use std::fs::File;
+use std::io::{self, Write};
 use std::os::unix::fs::MetadataExt;
 use std::path::{Path, PathBuf};
 use std::time::SystemTime;
@@ -129,14 +130,20 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the file cannot be read. The file is not read again until it changes.
+    /// Returns an error if the file cannot be read. The next call reads it again, unless its content is
+    /// malformed: then it is not read again until it changes.
     pub fn reload(&self) -> Result<Vec<ServiceChange>, OutOfServiceError> {
         let version = self.file.as_deref().and_then(file_version);
         if version.is_none() || version == self.version.get() {
             return Ok(Vec::new());
         }
-        self.version.set(version);
-        let servers = self.read()?.unwrap_or_default();
+        let servers = match self.read() {
+            Err(e @ OutOfServiceError::Read { .. }) => return Err(e),
+            read => {
+                self.version.set(version);
+                read?.unwrap_or_default()
+            }
+        };
         let previous = self.servers.replace(servers);
         let servers = self.servers.borrow();
         let changed = servers.symmetric_difference(&previous);
@@ -164,9 +171,24 @@
     Some(FileVersion { modified: metadata.modified().ok()?, inode: metadata.ino() })
 }
 
-/// Replaces `file` atomically: writes a new file and renames it.
+/// Replaces `file` atomically: writes a new file and renames it. Returns only once the change outlasts a crash of
+/// the machine.
 fn replace_file(file: &Path, list: &StoredList) -> io::Result<()> {
     let new_file = file.with_extension(format!("new-{}", std::process::id()));
-    std::fs::write(&new_file, serde_json::to_vec(list)?)?;
-    std::fs::rename(&new_file, file)
+    let replaced =
+        write_synced(&new_file, &serde_json::to_vec(list)?).and_then(|()| std::fs::rename(&new_file, file));
+    if replaced.is_err() {
+        let _ = std::fs::remove_file(&new_file); // it may not exist
+    }
+    replaced?;
+    match file.parent() {
+        Some(folder) => File::open(folder)?.sync_all(),
+        None => Ok(()),
+    }
+}
+
+fn write_synced(path: &Path, content: &[u8]) -> io::Result<()> {
+    let mut file = File::create(path)?;
+    file.write_all(content)?;
+    file.sync_all()
 }
--- a/tests/support/system_faults.c
+++ b/tests/support/system_faults.c
@@ -151,6 +151,11 @@
     return NEXT(write)(fd, bytes, length);
 }
 
+ssize_t read(int fd, void *bytes, size_t length) {
+    if (fd > 2 && length > 8) FAIL_IF_DUE("read_file");
+    return NEXT(read)(fd, bytes, length);
+}
+
 int fsync(int fd) {
     FAIL_IF_DUE("fsync");
     return NEXT(fsync)(fd);
--- a/tests/system_faults.rs
+++ b/tests/system_faults.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::fs;
+use std::path::{Path, PathBuf};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -13,9 +14,11 @@
 use support::*;
 
 const EINTR: i64 = 4;
+const EIO: i64 = 5;
 const ENOMEM: i64 = 12;
 const ENFILE: i64 = 23;
 const EMFILE: i64 = 24;
+const ENOSPC: i64 = 28;
 const EADDRNOTAVAIL: i64 = 99;
 const ENETUNREACH: i64 = 101;
 const ECONNABORTED: i64 = 103;
@@ -171,3 +174,74 @@
         assert!(["RZTDCZ", "RZEZ"].contains(&kinds.as_str()), "{kinds:?}");
     }
 }
+
+/// Returns the path of the only file in the state directory other than sockets.
+#[track_caller]
+fn stored_list(state_dir: &Path) -> PathBuf {
+    let files = fs::read_dir(state_dir).expect("the directory exists").flatten();
+    let is_file = |path: &PathBuf| path.extension().is_some_and(|extension| extension != "sock");
+    let mut files: Vec<_> = files.map(|file| file.path()).filter(is_file).collect();
+    assert_eq!(files.len(), 1, "expected one file: {files:?}");
+    files.remove(0)
+}
+
+/// Guards against a change by an operator that is acknowledged and not stored, or stored in part: on a full or
+/// broken disk the call fails, and the list stays as it was.
+#[rstest]
+#[case::full("write_file", ENOSPC)]
+#[case::broken("write_file", EIO)]
+#[case::not_synced("fsync", EIO)]
+#[case::not_renamed("rename", ENOSPC)]
+fn a_change_that_cannot_be_stored_is_refused_and_loses_nothing(#[case] call: &str, #[case] errno: i64) {
+    let server = ScriptedServer::start(ServerRole::Primary, reply_with_row);
+    let endpoints = [server.endpoint("a", "read-write", "Ready"), server.endpoint("b", "read-only", "Ready")];
+    let name = format!("disk-{call}-{errno}");
+    let state_dir = create_state_dir(&name);
+    let faults = SystemFaults::new(&name);
+    let proxy = faults.start_proxy(EXAMPLE_CONFIG, &endpoints, Some(&state_dir));
+    assert_eq!(admin_post(&proxy, "data-servers/a/offline"), Some(200));
+    faults.set(call, errno, 1);
+    assert_eq!(admin_post(&proxy, "data-servers/b/offline"), Some(500));
+    let stored = || fs::read_to_string(stored_list(&state_dir)).expect("the file can be read");
+    assert_eq!(stored(), r#"{"offline":["a"]}"#);
+    faults.clear();
+    assert_eq!(admin_post(&proxy, "data-servers/b/offline"), Some(200));
+    assert_eq!(stored(), r#"{"offline":["a","b"]}"#);
+}
+
+/// Guards against half a write that is taken for the whole.
+#[test]
+fn a_change_that_is_written_in_pieces_is_stored_completely() {
+    let server = ScriptedServer::start(ServerRole::Primary, reply_with_row);
+    let state_dir = create_state_dir("disk-pieces");
+    let faults = SystemFaults::new("disk-pieces");
+    let endpoints = [server.endpoint("a", "read-write", "Ready")];
+    let proxy = faults.start_proxy(EXAMPLE_CONFIG, &endpoints, Some(&state_dir));
+    faults.set("write_file", SHORT, 1);
+    assert_eq!(admin_post(&proxy, "data-servers/a/offline"), Some(200));
+    faults.clear();
+    assert_eq!(admin_post(&proxy, "data-servers/a/online"), Some(200));
+}
+
+/// Guards against a change by another process of the proxy instance that is never applied, because the first read
+/// of the file failed.
+#[test]
+fn a_stored_change_is_applied_although_reading_it_fails_at_first() {
+    let server = ScriptedServer::start(ServerRole::Primary, reply_with_row);
+    let state_dir = create_state_dir("disk-read");
+    let faults = SystemFaults::new("disk-read");
+    let endpoints = [server.endpoint("a", "read-write", "Ready")];
+    let proxy = faults.start_proxy(EXAMPLE_CONFIG, &endpoints, Some(&state_dir));
+    assert_eq!(admin_post(&proxy, "data-servers/a/offline"), Some(200));
+    assert_eq!(admin_post(&proxy, "data-servers/a/online"), Some(200));
+    thread::sleep(Duration::from_millis(300)); // the process has read its own change
+    faults.set("read_file", EIO, 1);
+    let stored = stored_list(&state_dir);
+    let changed = stored.with_extension("changed");
+    fs::write(&changed, r#"{"offline":["a"]}"#).expect("the file can be written");
+    fs::rename(&changed, &stored).expect("the file can be renamed");
+    thread::sleep(Duration::from_millis(300)); // reading it has failed
+    proxy.wait_for_log("reloading the out-of-service list failed: ");
+    faults.clear();
+    proxy.wait_for_log("server a taken out of service");
+}
