Stop using replication positions once servers show that the clock is behind

What callers saw: 20 of 20 reads with a bound of 3 s sent to a replica 4 s behind, from a process started with its clock 3.5 s behind. Cause: positions are Unix times of the servers, the proxy's clock is read once; positions ahead of it were ignored one by one. Change: two positions ahead by the same time within 10 s show that the clock is behind; no position is used then, with a warning.

--- a/src/net/server/attempt.rs
+++ b/src/net/server/attempt.rs
@@ -81,7 +81,7 @@
         if reply.is_connection_reusable() {
             self.connections.release(command.server, connection);
         }
-        Ok(reply.into_result(self.driver.clock()))
+        Ok(reply.into_result(&self.position_clock))
     }
 
     /// Writes the query and reads the reply. Returns `None` if the send deadline passes before the last byte is
@@ -123,7 +123,7 @@
         command: &AttemptCommand<Query>,
         connection: PooledConnection,
     ) -> AttemptResult<QueryResult> {
-        let clock = self.driver.clock();
+        let clock = &self.position_clock;
         let status = reply.status(clock);
         let load_report = reply.load_report(clock);
         let is_committed = status.is_some_and(|status| status.position.is_some());
--- a/src/net/server/health_check.rs
+++ b/src/net/server/health_check.rs
@@ -36,7 +36,7 @@
         match timeout_at(deadline, self.health_check_reply(server)).await {
             Ok(Ok(reply)) => HealthCheckResult {
                 ok: reply.is_complete_result(),
-                load_report: reply.health_check_load_report(self.driver.clock()),
+                load_report: reply.health_check_load_report(&self.position_clock),
             },
             // A server that sends an invalid reply is up, so it passes.
             Ok(Err(e)) => HealthCheckResult { ok: e.kind() == io::ErrorKind::InvalidData, load_report: None },
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -10,6 +10,7 @@
 mod health_check;
 mod load_report;
 mod options;
+mod position_clock;
 mod query_result;
 mod reply;
 mod reuse_statistics;
@@ -32,6 +33,7 @@
 use crate::net::driver::{AttemptCommand, Driver, ServerCommand};
 use crate::net::log_limit::LogLimit;
 use connection_pool::ConnectionPool;
+use position_clock::PositionClock;
 
 /// Interval between checks for connections that have been idle for too long.
 const IDLE_CHECK_INTERVAL: Duration = Duration::from_secs(1);
@@ -44,6 +46,8 @@
     driver: PgDriver,
     buffers: BufferPool,
     connections: ConnectionPool,
+    /// Converts the positions that servers report.
+    position_clock: PositionClock,
     /// Attempts whose tasks run.
     attempts: RefCell<HashMap<AttemptId, AbortHandle>>,
     /// Log lines about invalid replies of servers.
@@ -58,10 +62,12 @@
     buffers: BufferPool,
 ) {
     let connections = ConnectionPool::new(driver.clock(), options, buffers.clone());
+    let position_clock = PositionClock::new(driver.clock());
     let server_side = Rc::new(ServerSide {
         driver,
         buffers,
         connections,
+        position_clock,
         attempts: RefCell::default(),
         invalid_replies: LogLimit::default(),
     });
--- a/src/net/server/query_result.rs
+++ b/src/net/server/query_result.rs
@@ -176,7 +176,7 @@
     fn report_commit(&mut self) {
         let Some(session) = self.uncommitted_session.take() else { return };
         let driver = &self.server_side.driver;
-        let status = self.reply.status(driver.clock());
+        let status = self.reply.status(&self.server_side.position_clock);
         driver.write_committed(&session, status.and_then(|status| status.position));
     }
 
@@ -194,7 +194,8 @@
             };
             if timeout(REPLY_CONTINUATION_TIMEOUT, read_to_end).await.is_ok_and(|end| end.is_ok()) {
                 let Self { server_side, server, connection, reply, .. } = self;
-                server_side.driver.status_reported(server, reply.status(server_side.driver.clock()));
+                let status = reply.status(&server_side.position_clock);
+                server_side.driver.status_reported(server, status);
                 if reply.is_connection_reusable() {
                     server_side.connections.release(server, connection);
                 }
--- a/src/net/server/reply.rs
+++ b/src/net/server/reply.rs
@@ -12,10 +12,11 @@
 use tokio::time::timeout;
 
 use super::load_report;
+use super::position_clock::PositionClock;
 use super::query_result::QueryResult;
 use crate::api::{LoadReport, Outcome, ServerStatus};
 use crate::net::buffers::{BufferChain, BufferPool};
-use crate::net::driver::{AttemptResult, Clock};
+use crate::net::driver::AttemptResult;
 use crate::net::postgres::{self, MessageHeader};
 use crate::net::turn::{charge, Work};
 
@@ -328,7 +329,7 @@
     }
 
     /// Returns the attempt's result.
-    pub(super) fn into_result(self, clock: Clock) -> AttemptResult<QueryResult> {
+    pub(super) fn into_result(self, clock: &PositionClock) -> AttemptResult<QueryResult> {
         let outcome = match self.sqlstate.as_ref() {
             None if self.is_complete_result() => Outcome::Success,
             Some(b"25006" | b"72000") => Outcome::Misdirected,
@@ -342,19 +343,19 @@
     }
 
     /// Returns the server status that the reply contains; `None` if it contains none.
-    pub(super) fn status(&self, clock: Clock) -> Option<ServerStatus> {
-        let position = self.position_unix_ms.and_then(|ms| load_report::position_from_unix_ms(ms, clock));
+    pub(super) fn status(&self, clock: &PositionClock) -> Option<ServerStatus> {
+        let position = self.position_unix_ms.and_then(|ms| clock.position_from_unix_ms(ms));
         let has_status = position.is_some() || self.primary.is_some();
         has_status.then_some(ServerStatus { position, primary: self.primary })
     }
 
     /// Parses the load report in the ParameterStatus messages. Returns `None` if there is none.
-    pub(super) fn load_report(&self, clock: Clock) -> Option<LoadReport> {
+    pub(super) fn load_report(&self, clock: &PositionClock) -> Option<LoadReport> {
         self.load_report.as_deref().map(|text| load_report::parse(text, clock))
     }
 
     /// Parses the load report in the row of a health check's reply. Returns `None` if there is none.
-    pub(super) fn health_check_load_report(&self, clock: Clock) -> Option<LoadReport> {
+    pub(super) fn health_check_load_report(&self, clock: &PositionClock) -> Option<LoadReport> {
         let mut row = Vec::new();
         let range = self.result_messages.get(1)?;
         self.result.copy(range.start + HEADER_BYTES..range.end, &mut row);
