Read all that a client sends while its request is in flight, so that its close is seen

What callers saw: attempts 0.42 to 1.49 s after a client had closed behind a megabyte of pipelined requests (lost). Cause: one buffer was read ahead; the kernel tells of a close only once all before it fits into the socket's buffer. Change: up to 256 KiB are kept as the pool admits; the rest is discarded, and its requests are rejected with 53300 in their turn. A chain copies the shorter part when its front is taken.

--- a/src/net/buffers/chain.rs
+++ b/src/net/buffers/chain.rs
@@ -9,16 +9,18 @@
 use crate::net::retry::is_transient;
 use crate::net::turn::{charge, Work};
 
-/// A sequence of bytes in pooled buffers. All buffers except the last are full.
+/// A sequence of bytes in pooled buffers. All buffers except the last are filled to their ends.
 pub struct BufferChain {
     pool: BufferPool,
     buffers: Vec<Buffer>,
+    /// Offset of the first byte in the first buffer; less than [`BUFFER_BYTES`].
+    start: usize,
     len: usize,
 }
 
 impl BufferChain {
     pub(super) fn new(pool: BufferPool) -> Self {
-        Self { pool, buffers: Vec::new(), len: 0 }
+        Self { pool, buffers: Vec::new(), start: 0, len: 0 }
     }
 
     /// Returns the number of bytes.
@@ -44,8 +46,8 @@
 
     /// Returns the bytes of `range` as one slice per buffer. Cuts the range off at the end of the chain.
     pub fn slices(&self, range: Range<usize>) -> impl Iterator<Item = &[u8]> {
-        let start = range.start.min(self.len);
-        let end = range.end.min(self.len);
+        let start = self.start + range.start.min(self.len);
+        let end = self.start + range.end.min(self.len);
         let buffers = self.buffers.iter().enumerate().skip(start / BUFFER_BYTES);
         buffers.map_while(move |(index, buffer)| {
             let buffer_start = index * BUFFER_BYTES;
@@ -76,13 +78,27 @@
         Some(std::array::from_fn(|_| *bytes.next().expect("the range is inside the chain")))
     }
 
-    /// Removes the first `count` bytes and returns them as a separate chain.
+    /// Removes the first `count` bytes and returns them as a separate chain. Copies the shorter part.
     pub fn split_to(&mut self, count: usize) -> BufferChain {
-        let mut rest = self.pool.chain();
-        self.slices(count..self.len).for_each(|slice| rest.extend(slice));
-        self.len = self.len.min(count);
+        let count = count.min(self.len);
+        let is_front_shorter = count < self.len - count;
+        let copied_range = if is_front_shorter { 0..count } else { count..self.len };
+        let mut copied = self.pool.chain();
+        self.slices(copied_range).for_each(|slice| copied.extend(slice));
+        if is_front_shorter {
+            self.remove_front(count);
+            return copied;
+        }
+        self.len = count;
         self.release_empty_buffers();
-        std::mem::replace(self, rest)
+        std::mem::replace(self, copied)
+    }
+
+    fn remove_front(&mut self, count: usize) {
+        let start = self.start + count;
+        self.pool.release(self.buffers.drain(..start / BUFFER_BYTES));
+        self.start = start % BUFFER_BYTES;
+        self.len -= count;
     }
 
     /// Waits until the socket is readable and reads once. Returns the number of bytes; 0 is the end of the
@@ -116,15 +132,19 @@
 
     /// Returns the free space after the last byte, adding a buffer if there is none. Never empty.
     fn free_space(&mut self) -> &mut [u8] {
-        if self.len == self.buffers.len() * BUFFER_BYTES {
+        let end = self.start + self.len;
+        if end == self.buffers.len() * BUFFER_BYTES {
             self.buffers.push(self.pool.acquire());
         }
         let last = self.buffers.last_mut().expect("a buffer with free space was added");
-        &mut last[self.len % BUFFER_BYTES..]
+        &mut last[end % BUFFER_BYTES..]
     }
 
     fn release_empty_buffers(&mut self) {
-        let used = self.len.div_ceil(BUFFER_BYTES);
+        if self.len == 0 {
+            self.start = 0;
+        }
+        let used = (self.start + self.len).div_ceil(BUFFER_BYTES);
         self.pool.release(self.buffers.drain(used..));
     }
 }
--- a/src/net/buffers/pool.rs
+++ b/src/net/buffers/pool.rs
@@ -14,6 +14,9 @@
 /// Length in bytes of the shortest message that counts as very long.
 const VERY_LONG_MESSAGE_BYTES: usize = 128 * 1024;
 
+/// Share of the pool for what clients send ahead while a request of theirs is in flight.
+const READ_AHEAD_SHARE: f64 = 0.125;
+
 pub(super) type Buffer = Box<[u8; BUFFER_BYTES]>;
 
 /// Length class of a message that needs more than one buffer. Each class may fill only its own share of the
@@ -50,6 +53,8 @@
     state: RefCell<PoolState>,
     long: Admission,
     very_long: Admission,
+    /// Bytes that are reserved for what clients send ahead.
+    read_ahead_bytes: Cell<usize>,
 }
 
 /// Admission of the messages of one length class, in the order of arrival.
@@ -85,6 +90,41 @@
     }
 }
 
+/// Bytes of the pool that are reserved for what one client sends ahead; released when dropped.
+pub struct ReadAheadReservation {
+    pool: BufferPool,
+    bytes: usize,
+}
+
+impl ReadAheadReservation {
+    /// Raises the reservation to `bytes` bytes. Returns false, and changes nothing, if the share of the pool for
+    /// such bytes is used up.
+    pub fn try_extend_to(&mut self, bytes: usize) -> bool {
+        let additional = bytes.saturating_sub(self.bytes);
+        let reserved = &self.pool.0.read_ahead_bytes;
+        if additional > 0 && reserved.get() + additional > self.pool.share_in_bytes(READ_AHEAD_SHARE) {
+            return false;
+        }
+        reserved.set(reserved.get() + additional);
+        self.bytes += additional;
+        true
+    }
+
+    /// Lowers the reservation to `bytes` bytes, if it is higher.
+    pub fn shrink_to(&mut self, bytes: usize) {
+        let released = self.bytes.saturating_sub(bytes);
+        let reserved = &self.pool.0.read_ahead_bytes;
+        reserved.set(reserved.get() - released);
+        self.bytes -= released;
+    }
+}
+
+impl Drop for ReadAheadReservation {
+    fn drop(&mut self) {
+        self.shrink_to(0);
+    }
+}
+
 impl Default for BufferPool {
     /// Creates a pool without a limit.
     fn default() -> Self {
@@ -100,6 +140,7 @@
             state: RefCell::new(state),
             long: Admission::default(),
             very_long: Admission::default(),
+            read_ahead_bytes: Cell::new(0),
         }))
     }
 
@@ -120,6 +161,11 @@
         BufferReservation { pool: self.clone(), class, bytes }
     }
 
+    /// Creates an empty reservation for what a client sends ahead.
+    pub fn read_ahead(&self) -> ReadAheadReservation {
+        ReadAheadReservation { pool: self.clone(), bytes: 0 }
+    }
+
     /// Limits this process to a share of the pool, from 0 to 1. Another process uses the rest.
     pub fn set_share(&self, share: f64) {
         self.0.state.borrow_mut().share = share;
@@ -159,7 +205,12 @@
     }
 
     fn max_bytes(&self, class: LengthClass) -> usize {
+        self.share_in_bytes(class.max_share())
+    }
+
+    /// Returns a share of the part of the pool that this process may use, in bytes.
+    fn share_in_bytes(&self, share: f64) -> usize {
         let state = self.0.state.borrow();
-        (state.max_buffers as f64 * state.share * class.max_share()) as usize * BUFFER_BYTES
+        (state.max_buffers as f64 * state.share * share) as usize * BUFFER_BYTES
     }
 }
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -65,6 +65,8 @@
 enum NextMessage {
     /// A complete message.
     Received(ReceivedMessage),
+    /// Messages that were sent too far ahead and discarded.
+    Overflow,
     /// A graceful shutdown serves no more requests.
     RequestsEnded,
     /// The client has disconnected, or the connection is to be closed.
@@ -196,6 +198,11 @@
                         return Ok(());
                     }
                 }
+                NextMessage::Overflow => {
+                    if self.answer_overflow().await? == Flow::End {
+                        return Ok(());
+                    }
+                }
                 NextMessage::RequestsEnded => return self.reject_received_requests().await,
                 NextMessage::End => break,
             }
@@ -313,6 +320,9 @@
             if self.shared.requests_have_ended(&mut self.inbound) {
                 return Ok(NextMessage::RequestsEnded);
             }
+            if self.inbound.overflow().is_some() {
+                return Ok(NextMessage::Overflow);
+            }
             if let Some(header) = self.inbound.bytes().array(0) {
                 let header = postgres::parse_header(header);
                 let length = header.map(|header| header.length).filter(|n| *n <= postgres::MAX_QUERY_BYTES);
--- a/src/net/client/final_rejections.rs
+++ b/src/net/client/final_rejections.rs
@@ -11,101 +11,22 @@
 use pipittack_core::graceful_shutdown::{IdleState, REJECTION_INTERVAL};
 use tokio::time::sleep;
 
-use super::connection::Connection;
-use super::inbound::Inbound;
+use super::connection::{Connection, Flow};
+use super::message_discarder::{InvalidLength, MessageDiscarder};
+use super::rejections::{Rejection, Rejections};
 use super::service_phase::ServicePhase;
-use crate::net::postgres::{self, Severity};
 
 /// Text of the errors that a client gets at the end of a graceful shutdown.
 pub(super) const SHUTTING_DOWN: &str = "the proxy is shutting down";
 
-/// Message whose bytes are discarded as they arrive.
-struct DiscardedMessage {
-    kind: u8,
-    /// Bytes that are still to be discarded.
-    remaining_bytes: usize,
-}
-
-/// Discards the messages of a connection.
-#[derive(Default)]
-struct MessageDiscarder {
-    /// Message of which a part is discarded; `None` between messages.
-    current: Option<DiscardedMessage>,
-}
-
-/// The length field of a message is invalid.
-struct InvalidLength;
-
-impl MessageDiscarder {
-    /// Discards received bytes up to the end of a message. Returns the kind of that message; `None` if its end
-    /// has not been received.
-    async fn next_kind(&mut self, inbound: &mut Inbound) -> Result<Option<u8>, InvalidLength> {
-        let message = match self.current.take() {
-            Some(message) => message,
-            None => match begin_message(inbound)? {
-                Some(message) => message,
-                None => return Ok(None),
-            },
-        };
-        let count = message.remaining_bytes.min(inbound.bytes().len());
-        inbound.take_message(count).await;
-        let remaining_bytes = message.remaining_bytes - count;
-        if remaining_bytes == 0 {
-            return Ok(Some(message.kind));
-        }
-        self.current = Some(DiscardedMessage { remaining_bytes, ..message });
-        Ok(None)
-    }
-}
-
-/// Parses the header of the next message. Returns `None` if it has not been received.
-fn begin_message(inbound: &Inbound) -> Result<Option<DiscardedMessage>, InvalidLength> {
-    let Some(header) = inbound.bytes().array(0) else { return Ok(None) };
-    let header = postgres::parse_header(header).filter(|header| header.length <= postgres::MAX_QUERY_BYTES);
-    let header = header.ok_or(InvalidLength)?;
-    Ok(Some(DiscardedMessage { kind: header.kind, remaining_bytes: header.length }))
-}
-
-/// Responses to messages that were received.
-#[derive(Default)]
-struct Rejections {
-    bytes: Vec<u8>,
-    /// Number of requests that the responses reject.
-    count: usize,
-    next: NextRejections,
-}
+/// Error for the requests that are received at the end of a graceful shutdown.
+const REJECTION: Rejection = Rejection { code: "57P03", text: SHUTTING_DOWN };
 
-/// What follows [`Rejections`].
-#[derive(Default, PartialEq)]
-enum NextRejections {
-    /// Further messages may be complete.
-    MayFollow,
-    /// No further message is complete.
-    #[default]
-    NeedBytes,
-    /// The connection ends.
-    End,
-}
-
-impl Rejections {
-    /// Appends the response to a message of this kind.
-    fn reject(&mut self, kind: u8) {
-        match kind {
-            b'Q' | b'F' => {
-                self.count += 1;
-                postgres::push_error(&mut self.bytes, Severity::Error, "57P03", SHUTTING_DOWN, None);
-                postgres::push_ready_for_query(&mut self.bytes);
-            }
-            b'S' => postgres::push_ready_for_query(&mut self.bytes),
-            b'X' => self.next = NextRejections::End,
-            _ => self.end("57P01", SHUTTING_DOWN),
-        }
-    }
-
-    fn end(&mut self, code: &str, text: &str) {
-        postgres::push_error(&mut self.bytes, Severity::Fatal, code, text, None);
-        self.next = NextRejections::End;
-    }
+/// Responses to the messages that were received, and what follows them.
+struct FinalRejections {
+    responses: Rejections,
+    /// Whether further messages may be complete.
+    may_follow: bool,
 }
 
 impl Connection<'_> {
@@ -118,20 +39,28 @@
         let mut count = 0;
         loop {
             let is_spread = self.shared.spreads_rejections();
-            let rejections = self.next_rejections(&mut discarder, is_spread).await;
-            count += rejections.count;
-            if !rejections.bytes.is_empty() {
+            let FinalRejections { responses, may_follow } =
+                self.next_rejections(&mut discarder, is_spread).await;
+            count += responses.count();
+            if !responses.bytes().is_empty() {
                 self.no_request_guard = None;
                 if is_spread {
                     sleep(REJECTION_INTERVAL).await;
                 }
-                self.write(&rejections.bytes).await?;
+                self.write(responses.bytes()).await?;
+            }
+            if responses.ends_connection() {
+                break;
             }
-            let is_partial = discarder.current.is_some() || !self.inbound.bytes().is_empty();
-            match rejections.next {
-                NextRejections::MayFollow => {}
-                NextRejections::NeedBytes if self.read_before_end(is_partial).await? => {}
-                NextRejections::NeedBytes | NextRejections::End => break,
+            if !may_follow && self.inbound.overflow().is_some() {
+                match self.answer_overflow().await? {
+                    Flow::Continue => continue,
+                    Flow::End => break,
+                }
+            }
+            let is_partial = discarder.is_within_message() || !self.inbound.bytes().is_empty();
+            if !may_follow && !self.read_before_end(is_partial).await? {
+                break;
             }
         }
         if count > 0 {
@@ -144,20 +73,20 @@
     }
 
     /// Returns the responses to the messages that were received completely, or to the first of them.
-    async fn next_rejections(&mut self, discarder: &mut MessageDiscarder, only_first: bool) -> Rejections {
-        let mut rejections = Rejections::default();
+    async fn next_rejections(
+        &mut self,
+        discarder: &mut MessageDiscarder,
+        only_first: bool,
+    ) -> FinalRejections {
+        let mut responses = Rejections::new(REJECTION);
         loop {
-            match discarder.next_kind(&mut self.inbound).await {
-                Ok(Some(kind)) => rejections.reject(kind),
-                Ok(None) => return rejections,
-                Err(InvalidLength) => rejections.end("08P01", "invalid message length"),
-            }
-            if rejections.next == NextRejections::End {
-                return rejections;
+            match self.inbound.discard_message(discarder).await {
+                Ok(Some(kind)) => responses.reject(kind),
+                Ok(None) => return FinalRejections { responses, may_follow: false },
+                Err(InvalidLength) => responses.end("08P01", "invalid message length"),
             }
-            if only_first {
-                rejections.next = NextRejections::MayFollow;
-                return rejections;
+            if only_first || responses.ends_connection() {
+                return FinalRejections { responses, may_follow: true };
             }
         }
     }
--- a/src/net/client/inbound.rs
+++ b/src/net/client/inbound.rs
@@ -1,7 +1,8 @@
 //! The receiving side of a client connection: received bytes with the times at which they were read,
 //! detection of a disconnected client, and the graceful close.
 //!
-//! At most one buffer is read ahead of the message that is being processed.
+//! While a request is in flight, all that the client sends is read, since a close is behind it. Up to
+//! [`MAX_READ_AHEAD_BYTES`] of it are kept, as far as the buffer pool admits; the rest is a [`PipelineOverflow`].
 
 use std::collections::VecDeque;
 use std::io;
@@ -14,10 +15,12 @@
 use rustix::io::retry_on_intr;
 use socket2::SockRef;
 use tokio::net::TcpStream;
-use tokio::time::{sleep, timeout, Instant};
+use tokio::time::{timeout, Instant};
 
+use super::message_discarder::{InvalidLength, MessageDiscarder};
+use super::pipeline_overflow::PipelineOverflow;
 use super::query_counter::QueryCounter;
-use crate::net::buffers::{self, BufferChain, BufferPool};
+use crate::net::buffers::{self, BufferChain, BufferPool, ReadAheadReservation};
 use crate::net::driver::ClientHandle;
 use crate::net::retry::retry_if_interrupted;
 use crate::net::turn::{charge, Work};
@@ -25,8 +28,8 @@
 /// Reads within this time of each other share one record; the difference does not matter for a request's
 /// timeout.
 const READ_MERGE_INTERVAL: Duration = Duration::from_millis(2);
-/// Interval at which a client is checked for a disconnect while its read-ahead buffer is full.
-const DISCONNECT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Largest number of bytes that are kept of what a client sends while a request is in flight.
+const MAX_READ_AHEAD_BYTES: usize = 256 * 1024;
 /// Time limit for reading and discarding what a client sends after the proxy has shut down writing. Without
 /// these reads, the client could lose the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -53,6 +56,10 @@
     reads: VecDeque<ReadRecord>,
     /// Complete queries in `bytes`.
     queries: QueryCounter,
+    /// Share of the buffer pool for `bytes` beyond the first buffer.
+    read_ahead: ReadAheadReservation,
+    /// Messages behind `bytes` that were discarded; `None` while all are kept.
+    overflow: Option<PipelineOverflow>,
 }
 
 impl ClientHandle for TcpStream {
@@ -66,7 +73,14 @@
 
 impl Inbound {
     pub(super) fn new(stream: Rc<TcpStream>, pool: &BufferPool) -> Self {
-        Self { stream, bytes: pool.chain(), reads: VecDeque::new(), queries: QueryCounter::default() }
+        Self {
+            stream,
+            bytes: pool.chain(),
+            reads: VecDeque::new(),
+            queries: QueryCounter::default(),
+            read_ahead: pool.read_ahead(),
+            overflow: None,
+        }
     }
 
     /// Returns the bytes that were read and not consumed.
@@ -116,23 +130,59 @@
                 self.reads.pop_front();
             }
         }
-        ReceivedMessage { bytes: self.bytes.split_to(count), received_at }
+        let bytes = self.bytes.split_to(count);
+        self.read_ahead.shrink_to(self.bytes.len().saturating_sub(buffers::BUFFER_BYTES));
+        ReceivedMessage { bytes, received_at }
     }
 
-    /// Waits until the client has closed its connection. Reads pipelined bytes meanwhile, up to one buffer;
-    /// the rest stays in the kernel's socket buffer.
+    /// Waits until the client has closed its connection. Meanwhile reads all that the client sends.
     pub(super) async fn wait_until_disconnected(&mut self) {
-        loop {
-            if self.bytes.len() < buffers::BUFFER_BYTES {
-                if !self.read().await.is_ok_and(|bytes| bytes > 0) {
-                    return;
-                }
-            } else if self.stream.is_disconnected() {
-                return;
-            } else {
-                sleep(DISCONNECT_CHECK_INTERVAL).await;
+        while self.read_ahead().await.is_ok_and(|bytes| bytes > 0) {}
+    }
+
+    /// Reads once, and keeps what was read as far as the limits admit. Returns the number of bytes; 0 is the end of
+    /// the stream.
+    pub(super) async fn read_ahead(&mut self) -> io::Result<usize> {
+        if self.overflow.is_none() {
+            let full_buffers_bytes = self.bytes.len() / buffers::BUFFER_BYTES * buffers::BUFFER_BYTES;
+            if full_buffers_bytes < MAX_READ_AHEAD_BYTES && self.read_ahead.try_extend_to(full_buffers_bytes)
+            {
+                return self.read().await;
             }
+            self.begin_overflow();
         }
+        let overflow = self.overflow.as_mut().expect("the overflow was begun above");
+        let bytes = overflow.received_mut().read_from(&self.stream).await?;
+        charge(Work::Message).await;
+        overflow.discard_received();
+        Ok(bytes)
+    }
+
+    /// Moves the message that is not complete, and all behind it, to the overflow.
+    fn begin_overflow(&mut self) {
+        self.queries.count(&self.bytes);
+        let kept = self.queries.counted_bytes();
+        let mut rest = self.bytes.split_to(kept);
+        std::mem::swap(&mut rest, &mut self.bytes);
+        self.overflow = Some(PipelineOverflow::new(rest));
+    }
+
+    /// Returns the overflow once all messages that were kept are consumed.
+    pub(super) fn overflow(&mut self) -> Option<&mut PipelineOverflow> {
+        self.overflow.take_if(|overflow| overflow.is_over() && self.bytes.is_empty());
+        self.overflow.as_mut().filter(|_| self.bytes.is_empty())
+    }
+
+    /// Discards received bytes up to the end of a message, and returns its kind; `None` if its end has not been
+    /// received. Messages of the overflow follow those that were kept.
+    pub(super) async fn discard_message(
+        &mut self,
+        discarder: &mut MessageDiscarder,
+    ) -> Result<Option<u8>, InvalidLength> {
+        charge(Work::Message).await;
+        self.reads.clear();
+        self.queries = QueryCounter::default();
+        discarder.next_kind(&mut self.bytes)
     }
 
     /// Closes the connection gracefully: shuts down writing, then reads and discards further bytes for a
--- /dev/null
+++ b/src/net/client/pipeline_overflow.rs
@@ -0,0 +1,141 @@
+//! Messages that a client has sent further ahead of its responses than the proxy buffers.
+//!
+//! While a request is in flight the proxy reads all that its client sends, since a close is behind it: the kernel
+//! reports a close only when everything before it fits into the socket's buffer. What exceeds the buffers is
+//! discarded as it arrives. Its messages are remembered by kind, and each request among them is rejected when its
+//! turn comes, with the promise that a retry is safe.
+
+use std::collections::VecDeque;
+use std::io;
+
+use tokio::time::timeout;
+
+use super::connection::{Connection, Flow, MESSAGE_TIMEOUT};
+use super::message_discarder::{InvalidLength, MessageDiscarder};
+use super::rejections::{Rejection, Rejections};
+use crate::net::buffers::BufferChain;
+
+/// Largest number of runs of messages of one kind. The connection of a client that sends more ahead ends behind
+/// them.
+const MAX_RUNS: usize = 1024;
+/// Largest number of messages that are answered in one write.
+const MAX_MESSAGES_PER_WRITE: usize = 16;
+/// Error for the requests that were sent too far ahead.
+const REJECTION: Rejection =
+    Rejection { code: "53300", text: "too many requests were sent ahead of their responses" };
+
+/// Messages of one kind that follow each other.
+struct Run {
+    kind: u8,
+    count: usize,
+}
+
+/// Discarded messages of a connection, in the order in which they arrived.
+pub(super) struct PipelineOverflow {
+    /// Received bytes that were not discarded yet.
+    received: BufferChain,
+    discarder: MessageDiscarder,
+    runs: VecDeque<Run>,
+    /// Whether no further message can be remembered or parsed, so that the connection ends behind the others.
+    is_broken: bool,
+}
+
+impl PipelineOverflow {
+    /// Starts with the bytes that were received behind the messages that are kept.
+    pub(super) fn new(received: BufferChain) -> Self {
+        let mut overflow = Self {
+            received,
+            discarder: MessageDiscarder::default(),
+            runs: VecDeque::new(),
+            is_broken: false,
+        };
+        overflow.discard_received();
+        overflow
+    }
+
+    /// Returns the chain into which further bytes are read before [`Self::discard_received`].
+    pub(super) fn received_mut(&mut self) -> &mut BufferChain {
+        &mut self.received
+    }
+
+    /// Discards the received messages and remembers their kinds.
+    pub(super) fn discard_received(&mut self) {
+        while !self.is_broken {
+            match self.discarder.next_kind(&mut self.received) {
+                Ok(Some(kind)) => self.remember(kind),
+                Ok(None) => return,
+                Err(InvalidLength) => self.is_broken = true,
+            }
+        }
+        self.received.clear();
+    }
+
+    /// Returns whether all messages are answered and the next byte starts a new one.
+    pub(super) fn is_over(&self) -> bool {
+        self.runs.is_empty()
+            && !self.is_broken
+            && !self.discarder.is_within_message()
+            && self.received.is_empty()
+    }
+
+    /// Returns the responses to the next messages. They end the connection behind the last one that can be
+    /// answered.
+    pub(super) fn next_rejections(&mut self) -> Rejections {
+        let mut rejections = Rejections::new(REJECTION);
+        for _ in 0..MAX_MESSAGES_PER_WRITE {
+            let Some(run) = self.runs.front_mut() else { break };
+            rejections.reject(run.kind);
+            run.count -= 1;
+            if run.count == 0 {
+                self.runs.pop_front();
+            }
+            if rejections.ends_connection() {
+                return rejections;
+            }
+        }
+        if self.runs.is_empty() && self.is_broken {
+            rejections.end("08P01", "too many messages were sent ahead of their responses");
+        }
+        rejections
+    }
+
+    fn remember(&mut self, kind: u8) {
+        if let Some(run) = self.runs.back_mut().filter(|run| run.kind == kind) {
+            run.count += 1;
+        } else if self.runs.len() < MAX_RUNS {
+            self.runs.push_back(Run { kind, count: 1 });
+        } else {
+            self.is_broken = true;
+        }
+    }
+}
+
+impl Connection<'_> {
+    /// Rejects the requests that were sent too far ahead of their responses. Returns once the next byte of the client
+    /// starts a new message.
+    pub(super) async fn answer_overflow(&mut self) -> io::Result<Flow> {
+        let mut count = 0;
+        while let Some(overflow) = self.inbound.overflow() {
+            let rejections = overflow.next_rejections();
+            count += rejections.count();
+            if rejections.bytes().is_empty() && !rejections.ends_connection() {
+                let Ok(read) = timeout(MESSAGE_TIMEOUT, self.inbound.read_ahead()).await else {
+                    return self.fail_connection("08P01", "a message was not complete in time").await;
+                };
+                if read? == 0 {
+                    return Ok(Flow::End);
+                }
+                continue;
+            }
+            self.write(rejections.bytes()).await?;
+            if rejections.ends_connection() {
+                return Ok(Flow::End);
+            }
+        }
+        self.shared.log_overflow(self.id, count);
+        Ok(Flow::Continue)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/src/net/client/query_counter.rs
+++ b/src/net/client/query_counter.rs
@@ -27,6 +27,11 @@
         self.count
     }
 
+    /// Returns the number of bytes of the messages that were counted.
+    pub(super) fn counted_bytes(&self) -> usize {
+        self.next_message_at
+    }
+
     /// Adjusts the count before the first `bytes` bytes of `received` are removed: a whole message, or a part
     /// of the first message that was not counted.
     pub(super) fn remove(&mut self, received: &BufferChain, bytes: usize) {
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -51,6 +51,8 @@
     sockets: SocketShare,
     /// Log lines about clients that are rejected because the client limit is reached.
     rejections: LogLimit,
+    /// Log lines about clients that send too far ahead.
+    overflows: LogLimit,
     /// Log lines about errors of `accept`.
     pub accept_errors: LogLimit,
     /// Log lines about connections that are closed with an error.
@@ -78,6 +80,7 @@
             shutdown_notify: Notify::new(),
             sockets: SocketShare::new(max_clients, reserved_clients, sockets),
             rejections: LogLimit::default(),
+            overflows: LogLimit::default(),
             accept_errors: LogLimit::default(),
             connection_errors: LogLimit::default(),
         }
@@ -188,6 +191,16 @@
         }
     }
 
+    /// Logs the requests that were rejected because their client sent them too far ahead, if a line is due.
+    pub(super) fn log_overflow(&self, id: ConnectionId, requests: usize) {
+        if let Some(count) = self.overflows.record() {
+            log::warn!(
+                "client connection {id}: {requests} requests rejected that were sent too far ahead \
+                 ({count} such connections)"
+            );
+        }
+    }
+
     /// Counts a client that is rejected because the client limit is reached, and logs the count if a log line
     /// is due.
     pub(super) fn log_rejection(&self) {
--- a/tests/memory_limit.rs
+++ b/tests/memory_limit.rs
@@ -41,8 +41,8 @@
 /// memory limit.
 #[track_caller]
 fn assert_usual_requests_and_memory(proxy: &Proxy) {
-    let started = Instant::now();
     let mut client = Client::connect(proxy);
+    let started = Instant::now();
     let mut number = 0;
     while started.elapsed() < PERIOD {
         number += 1;
@@ -60,12 +60,12 @@
     assert!(peak < limit, "the proxy has used {peak} of {limit} bytes");
 }
 
-/// Opens clients that each send these bytes and nothing more.
-fn open_clients(proxy: &Proxy, bytes: &[u8]) -> Vec<Client> {
-    let open_client = |_| {
+/// Opens clients that each send the bytes for their number and nothing more.
+fn open_clients(proxy: &Proxy, bytes: impl Fn(usize) -> Vec<u8>) -> Vec<Client> {
+    let open_client = |number| {
         let mut client = Client::open(proxy);
         client.stream.set_nonblocking(true).expect("the stream can be made non-blocking");
-        let _ = client.stream.write(bytes);
+        let _ = client.stream.write(&bytes(number));
         client
     };
     (0..CLIENTS).map(open_client).collect()
@@ -80,7 +80,25 @@
     let _alone = run_alone();
     let server = ScriptedServer::start(ServerRole::Primary, reply_with_row);
     let proxy = start_proxy_with_limits(LIMITS, &[server.endpoint("a", "read-write", "Ready")]);
-    let clients = open_clients(&proxy, &bytes);
+    let clients = open_clients(&proxy, |_| bytes.clone());
+    assert_usual_requests_and_memory(&proxy);
+    drop(clients);
+}
+
+/// Guards against clients that fill the memory with requests that they send ahead of their responses.
+#[test]
+fn requests_that_are_sent_far_ahead_stay_within_the_memory_limit() {
+    let _alone = run_alone();
+    let server = start_server_with_marked_reply("id=hangs", || Reply::NoResponse);
+    let other = ScriptedServer::start(ServerRole::Replica, reply_with_row);
+    let endpoints = [server.endpoint("a", "read-write", "Ready"), other.endpoint("b", "read-only", "Ready")];
+    let proxy = start_proxy_with_limits(LIMITS, &endpoints);
+    let ahead = read_statement_with_id("ahead", 1500).replace("'k'", &format!("'{}'", "k".repeat(900)));
+    let ahead = query(&ahead).repeat(300);
+    let clients = open_clients(&proxy, |number| {
+        let first = query(&write_statement_with_id(&format!("hangs-{number}"), 9000));
+        [&startup()[..], &first, &ahead].concat()
+    });
     assert_usual_requests_and_memory(&proxy);
     drop(clients);
 }
--- a/tests/parsers.rs
+++ b/tests/parsers.rs
@@ -253,3 +253,30 @@
 ) {
     assert_eq!(parse_call(head.as_bytes()).map_err(HttpStatus::code), expected);
 }
+
+/// Messages are taken off the front of a chain one by one while further bytes are appended. Each byte must come out
+/// once and in order, whichever part of the chain is copied, and all buffers must return.
+#[test]
+fn bytes_taken_off_a_chain_piece_by_piece_keep_their_order() {
+    let pool = BufferPool::new(1 << 20);
+    let bytes: Vec<u8> = (0..200_000u32).map(|i| (i % 251) as u8).collect();
+    for piece_bytes in [1, 100, 5000, BUFFER_BYTES, BUFFER_BYTES + 1, 60_000] {
+        let mut chain = pool.chain();
+        let mut taken = Vec::new();
+        for (number, added) in bytes.chunks(7000).enumerate() {
+            chain.extend(added);
+            while number % 3 == 2 && chain.len() >= piece_bytes {
+                let piece = chain.split_to(piece_bytes);
+                assert_eq!(piece.len(), piece_bytes);
+                piece.slices(0..piece.len()).for_each(|slice| taken.extend_from_slice(slice));
+            }
+        }
+        assert_eq!(chain.array::<1>(0), bytes.get(taken.len()).map(|byte| [*byte]));
+        let rest = chain.split_to(chain.len());
+        assert!(chain.is_empty());
+        rest.slices(0..rest.len()).for_each(|slice| taken.extend_from_slice(slice));
+        assert_eq!(taken, bytes);
+        chain.extend(b"more");
+        assert_eq!(chain.array::<4>(0), Some(*b"more"));
+    }
+}
