Let statements that have arrived pass those whose clients stopped in the middle

What callers saw: a write of 20 KB (d = 1.3 s) answered after 2.0 s while 60 clients had stopped in a statement of 124 KB. Cause: reservations were first come, first served, a stalled one lasted 2.5 s, and the wait had no limit and did not count. Change: partial statements fill half of the share; a stalled one gives way after 0.5 s; one under 128 KiB waits 0.2 s and is then rejected; the wait counts against the request's time.

--- a/src/net/buffers/mod.rs
+++ b/src/net/buffers/mod.rs
@@ -8,5 +8,5 @@
 mod write;
 
 pub use chain::BufferChain;
-pub use pool::{BufferPool, BufferReservation, ReadAheadReservation, BUFFER_BYTES};
+pub use pool::{Arrival, BufferPool, BufferReservation, ReadAheadReservation, BUFFER_BYTES};
 pub use write::write_all;
--- a/src/net/buffers/pool.rs
+++ b/src/net/buffers/pool.rs
@@ -14,11 +14,23 @@
 /// Length in bytes of the shortest message that counts as very long.
 const VERY_LONG_MESSAGE_BYTES: usize = 128 * 1024;
 
+/// Share of a length class that messages may fill of which a part has not arrived. A client that stops in the middle
+/// of a message then keeps no memory from those that have arrived.
+const PARTIAL_SHARE: f64 = 0.5;
 /// Share of the pool for what clients send ahead while a request of theirs is in flight.
 const READ_AHEAD_SHARE: f64 = 0.125;
 
 pub(super) type Buffer = Box<[u8; BUFFER_BYTES]>;
 
+/// How much of a message has arrived when its buffers are reserved.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Arrival {
+    /// All of it is in the proxy or in the kernel's socket buffer.
+    Complete,
+    /// A part may never arrive.
+    Partial,
+}
+
 /// Length class of a message that needs more than one buffer. Each class may fill only its own share of the
 /// pool, so that neither class starves the other, or messages that fit into one buffer.
 #[derive(Clone, Copy)]
@@ -60,13 +72,36 @@
 /// Admission of the messages of one length class, in the order of arrival.
 #[derive(Default)]
 struct Admission {
-    /// Held by the message at the head of the queue; later messages wait for the lock in order.
-    queue: Mutex<()>,
+    /// Held by the complete message at the head of the queue; later ones wait for the lock in order.
+    complete_queue: Mutex<()>,
+    /// Held by the partial message at the head of the queue; later ones wait for the lock in order.
+    partial_queue: Mutex<()>,
     reserved_bytes: Cell<usize>,
+    /// Number of messages that wait for a reservation.
+    waiting: Cell<usize>,
+    /// Notified when a message begins to wait.
+    wait_begun: Notify,
     /// Notified when a reservation is released or the process's share of the pool changes.
     released: Notify,
 }
 
+/// Counts a message among those that wait for a reservation until it is dropped.
+struct WaitingGuard<'a>(&'a Admission);
+
+impl<'a> WaitingGuard<'a> {
+    fn new(admission: &'a Admission) -> Self {
+        admission.waiting.set(admission.waiting.get() + 1);
+        admission.wait_begun.notify_waiters();
+        Self(admission)
+    }
+}
+
+impl Drop for WaitingGuard<'_> {
+    fn drop(&mut self) {
+        self.0.waiting.set(self.0.waiting.get() - 1);
+    }
+}
+
 struct PoolState {
     idle: Vec<Buffer>,
     /// Size of the pool, in buffers, by which reservations are limited.
@@ -86,7 +121,21 @@
     fn drop(&mut self) {
         let admission = self.pool.admission(self.class);
         admission.reserved_bytes.set(admission.reserved_bytes.get() - self.bytes);
-        admission.released.notify_one();
+        admission.released.notify_waiters();
+    }
+}
+
+impl BufferReservation {
+    /// Waits until another message of the same length class waits for a reservation.
+    pub async fn wanted_by_others(&self) {
+        let admission = self.pool.admission(self.class);
+        loop {
+            let wait_begun = admission.wait_begun.notified();
+            if admission.waiting.get() > 0 {
+                return;
+            }
+            wait_begun.await;
+        }
     }
 }
 
@@ -148,14 +197,22 @@
     /// that each held only a part of their buffers could block each other indefinitely. A message of any
     /// length is admitted if no other one of its length class holds a reservation. Each socket may use a
     /// single buffer without a reservation.
-    pub async fn reserve(&self, bytes: usize) -> BufferReservation {
+    pub async fn reserve(&self, bytes: usize, arrival: Arrival) -> BufferReservation {
         let class = LengthClass::of(bytes);
         let admission = self.admission(class);
-        let _queue_head = admission.queue.lock().await;
-        while admission.reserved_bytes.get() > 0
-            && admission.reserved_bytes.get() + bytes > self.max_bytes(class)
-        {
-            admission.released.notified().await;
+        let _waiting = WaitingGuard::new(admission);
+        let queue = match arrival {
+            Arrival::Complete => &admission.complete_queue,
+            Arrival::Partial => &admission.partial_queue,
+        };
+        let _queue_head = queue.lock().await;
+        loop {
+            let released = admission.released.notified();
+            let reserved = admission.reserved_bytes.get();
+            if reserved == 0 || reserved + bytes <= self.max_bytes(class, arrival) {
+                break;
+            }
+            released.await;
         }
         admission.reserved_bytes.set(admission.reserved_bytes.get() + bytes);
         BufferReservation { pool: self.clone(), class, bytes }
@@ -169,8 +226,8 @@
     /// Limits this process to a share of the pool, from 0 to 1. Another process uses the rest.
     pub fn set_share(&self, share: f64) {
         self.0.state.borrow_mut().share = share;
-        self.0.long.released.notify_one();
-        self.0.very_long.released.notify_one();
+        self.0.long.released.notify_waiters();
+        self.0.very_long.released.notify_waiters();
     }
 
     /// Creates an empty chain that acquires its buffers from this pool.
@@ -204,8 +261,13 @@
         }
     }
 
-    fn max_bytes(&self, class: LengthClass) -> usize {
-        self.share_in_bytes(class.max_share())
+    fn max_bytes(&self, class: LengthClass, arrival: Arrival) -> usize {
+        let share = match (class, arrival) {
+            (LengthClass::Long, Arrival::Partial) => class.max_share() * PARTIAL_SHARE,
+            // A very long message never fits into the socket buffer, so that none of them is complete.
+            (LengthClass::Long, Arrival::Complete) | (LengthClass::VeryLong, _) => class.max_share(),
+        };
+        self.share_in_bytes(share)
     }
 
     /// Returns a share of the part of the pool that this process may use, in bytes.
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -15,6 +15,7 @@
 use super::inbound::{Inbound, ReceivedMessage};
 use super::service_phase::ServicePhase;
 use super::shared::Shared;
+use super::statement_memory::has_stalled;
 use crate::net::buffers::{self, write_all, BufferReservation};
 use crate::net::hot_restart::frame::Successor;
 use crate::net::postgres::{self, Severity};
@@ -294,6 +295,7 @@
             () = self.shared.idle_deadline(state, is_ready, self.accepted_at), if is_idle => Wait::Close,
             () = self.eviction.notified(), if is_idle => Wait::Close,
             () = self.shared.requests_ended(), if is_ready && !is_idle => Wait::RequestsEnded,
+            () = has_stalled(self.reservation.as_ref()), if self.reservation.is_some() => Wait::TimedOut,
             () = sleep_until(deadline.unwrap_or_else(Instant::now)), if deadline.is_some() => Wait::TimedOut,
         })
     }
@@ -334,10 +336,9 @@
                     return Ok(NextMessage::Received(self.inbound.take_message(length).await));
                 }
                 if self.inbound.bytes().len() >= buffers::BUFFER_BYTES && self.reservation.is_none() {
-                    self.reservation = tokio::select! {
-                        reservation = self.shared.pool.reserve(length) => Some(reservation),
-                        () = self.shared.requests_ended() => continue,
-                    };
+                    if !self.reserve_memory(length).await {
+                        continue;
+                    }
                     is_long = length > MAX_SHORT_MESSAGE_BYTES;
                     started_at = Instant::now();
                 }
--- a/src/net/client/inbound.rs
+++ b/src/net/client/inbound.rs
@@ -12,14 +12,15 @@
 use std::time::Duration;
 
 use rustix::event::{poll, PollFd, PollFlags, Timespec};
-use rustix::io::retry_on_intr;
+use rustix::io::{ioctl_fionread, retry_on_intr};
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::{timeout, Instant};
 
 use super::message_discarder::{InvalidLength, MessageDiscarder};
-use super::pipeline_overflow::PipelineOverflow;
+use super::pipeline_overflow::{PipelineOverflow, SENT_TOO_FAR_AHEAD};
 use super::query_counter::QueryCounter;
+use super::rejections::Rejection;
 use crate::net::buffers::{self, BufferChain, BufferPool, ReadAheadReservation};
 use crate::net::driver::ClientHandle;
 use crate::net::retry::retry_if_interrupted;
@@ -42,6 +43,13 @@
     read_at: Instant,
 }
 
+/// Bytes that the kernel has received while the connection was not read.
+struct UnreadBytes {
+    bytes: usize,
+    /// Time since which the connection was not read.
+    since: Instant,
+}
+
 /// A complete message and the time at which its last byte was read.
 pub(super) struct ReceivedMessage {
     pub bytes: BufferChain,
@@ -56,6 +64,8 @@
     reads: VecDeque<ReadRecord>,
     /// Complete queries in `bytes`.
     queries: QueryCounter,
+    /// Bytes in the kernel that were received while the connection was not read.
+    unread: Option<UnreadBytes>,
     /// Share of the buffer pool for `bytes` beyond the first buffer.
     read_ahead: ReadAheadReservation,
     /// Messages behind `bytes` that were discarded; `None` while all are kept.
@@ -78,6 +88,7 @@
             bytes: pool.chain(),
             reads: VecDeque::new(),
             queries: QueryCounter::default(),
+            unread: None,
             read_ahead: pool.read_ahead(),
             overflow: None,
         }
@@ -98,14 +109,39 @@
     /// stream.
     pub(super) async fn read(&mut self) -> io::Result<usize> {
         let bytes = self.bytes.read_from(&self.stream).await?;
-        let now = Instant::now();
-        match self.reads.back_mut().filter(|last| now - last.read_at < READ_MERGE_INTERVAL) {
+        let read_at = self.arrival_time(bytes);
+        let is_mergeable =
+            |last: &&mut ReadRecord| read_at.saturating_duration_since(last.read_at) < READ_MERGE_INTERVAL;
+        match self.reads.back_mut().filter(is_mergeable) {
             Some(last) => last.bytes += bytes,
-            None => self.reads.push_back(ReadRecord { bytes, read_at: now }),
+            None => self.reads.push_back(ReadRecord { bytes, read_at }),
         }
         Ok(bytes)
     }
 
+    /// Returns the time that counts as the arrival of `bytes` bytes that were just read.
+    fn arrival_time(&mut self, bytes: usize) -> Instant {
+        let Some(unread) = self.unread.take() else { return Instant::now() };
+        if bytes > unread.bytes {
+            return Instant::now();
+        }
+        let rest = unread.bytes - bytes;
+        self.unread = (rest > 0).then_some(UnreadBytes { bytes: rest, since: unread.since });
+        unread.since
+    }
+
+    /// Records that the connection was not read since `since`. The bytes that the kernel has received meanwhile
+    /// count as received then, so that the wait counts against the time of their request.
+    pub(super) fn resume_reading(&mut self, since: Instant) {
+        let bytes = self.unread_bytes();
+        self.unread = (bytes > 0).then_some(UnreadBytes { bytes, since });
+    }
+
+    /// Returns the number of bytes that the kernel has received and that were not read.
+    pub(super) fn unread_bytes(&self) -> usize {
+        ioctl_fionread(&*self.stream).ok().and_then(|bytes| usize::try_from(bytes).ok()).unwrap_or(0)
+    }
+
     /// Returns whether the kernel has received bytes that were not read. The runtime learns of received bytes
     /// only when it polls.
     pub(super) fn has_unread_bytes(&self) -> bool {
@@ -149,7 +185,7 @@
             {
                 return self.read().await;
             }
-            self.begin_overflow();
+            self.begin_overflow(SENT_TOO_FAR_AHEAD);
         }
         let overflow = self.overflow.as_mut().expect("the overflow was begun above");
         let bytes = overflow.received_mut().read_from(&self.stream).await?;
@@ -158,13 +194,13 @@
         Ok(bytes)
     }
 
-    /// Moves the message that is not complete, and all behind it, to the overflow.
-    fn begin_overflow(&mut self) {
+    /// Moves the message that is not complete, and all behind it, to the overflow. Its requests get `rejection`.
+    pub(super) fn begin_overflow(&mut self, rejection: Rejection) {
         self.queries.count(&self.bytes);
         let kept = self.queries.counted_bytes();
         let mut rest = self.bytes.split_to(kept);
         std::mem::swap(&mut rest, &mut self.bytes);
-        self.overflow = Some(PipelineOverflow::new(rest));
+        self.overflow = Some(PipelineOverflow::new(rest, rejection));
     }
 
     /// Returns the overflow once all messages that were kept are consumed.
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -23,6 +23,7 @@
 mod shutdown;
 mod socket_share;
 mod startup;
+mod statement_memory;
 
 pub use class_table::ConfiguredClass;
 pub use service::{listen, ClientOptions, ClientService};
--- a/src/net/client/pipeline_overflow.rs
+++ b/src/net/client/pipeline_overflow.rs
@@ -1,4 +1,5 @@
-//! Messages that a client has sent further ahead of its responses than the proxy buffers.
+//! Messages of a client that exceed the buffers, because it sends far ahead of its responses or the memory for
+//! long statements is in use.
 //!
 //! While a request is in flight the proxy reads all that its client sends, since a close is behind it: the kernel
 //! reports a close only when everything before it fits into the socket's buffer. What exceeds the buffers is
@@ -20,9 +21,12 @@
 const MAX_RUNS: usize = 1024;
 /// Largest number of messages that are answered in one write.
 const MAX_MESSAGES_PER_WRITE: usize = 16;
-/// Error for the requests that were sent too far ahead.
-const REJECTION: Rejection =
+/// Error for requests that were sent too far ahead.
+pub(super) const SENT_TOO_FAR_AHEAD: Rejection =
     Rejection { code: "53300", text: "too many requests were sent ahead of their responses" };
+/// Error for a statement that gets no buffers in time.
+pub(super) const NO_MEMORY: Rejection =
+    Rejection { code: "53300", text: "no memory is free for a statement of this length" };
 
 /// Messages of one kind that follow each other.
 struct Run {
@@ -32,6 +36,8 @@
 
 /// Discarded messages of a connection, in the order in which they arrived.
 pub(super) struct PipelineOverflow {
+    /// Error for the requests among the messages.
+    rejection: Rejection,
     /// Received bytes that were not discarded yet.
     received: BufferChain,
     discarder: MessageDiscarder,
@@ -42,8 +48,9 @@
 
 impl PipelineOverflow {
     /// Starts with the bytes that were received behind the messages that are kept.
-    pub(super) fn new(received: BufferChain) -> Self {
+    pub(super) fn new(received: BufferChain, rejection: Rejection) -> Self {
         let mut overflow = Self {
+            rejection,
             received,
             discarder: MessageDiscarder::default(),
             runs: VecDeque::new(),
@@ -81,7 +88,7 @@
     /// Returns the responses to the next messages. They end the connection behind the last one that can be
     /// answered.
     pub(super) fn next_rejections(&mut self) -> Rejections {
-        let mut rejections = Rejections::new(REJECTION);
+        let mut rejections = Rejections::new(self.rejection);
         for _ in 0..MAX_MESSAGES_PER_WRITE {
             let Some(run) = self.runs.front_mut() else { break };
             rejections.reject(run.kind);
@@ -111,7 +118,7 @@
 }
 
 impl Connection<'_> {
-    /// Rejects the requests that were sent too far ahead of their responses. Returns once the next byte of the client
+    /// Rejects the requests that exceed the buffers. Returns once the next byte of the client
     /// starts a new message.
     pub(super) async fn answer_overflow(&mut self) -> io::Result<Flow> {
         let mut count = 0;
--- a/src/net/client/pipeline_overflow/tests.rs
+++ b/src/net/client/pipeline_overflow/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of `pipeline_overflow`.
 
-use super::{PipelineOverflow, MAX_MESSAGES_PER_WRITE, MAX_RUNS};
+use super::{PipelineOverflow, MAX_MESSAGES_PER_WRITE, MAX_RUNS, SENT_TOO_FAR_AHEAD};
 use crate::net::buffers::BufferPool;
 
 /// Returns an encoded message with a body of this length.
@@ -14,7 +14,7 @@
 /// Returns the overflow after these bytes have arrived in pieces of this size.
 fn overflow(bytes: &[u8], piece_bytes: usize) -> PipelineOverflow {
     let pool = BufferPool::default();
-    let mut overflow = PipelineOverflow::new(pool.chain());
+    let mut overflow = PipelineOverflow::new(pool.chain(), SENT_TOO_FAR_AHEAD);
     for piece in bytes.chunks(piece_bytes) {
         overflow.received_mut().extend(piece);
         overflow.discard_received();
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -51,7 +51,7 @@
     sockets: SocketShare,
     /// Log lines about clients that are rejected because the client limit is reached.
     rejections: LogLimit,
-    /// Log lines about clients that send too far ahead.
+    /// Log lines about requests that exceeded the buffers.
     overflows: LogLimit,
     /// Log lines about errors of `accept`.
     pub accept_errors: LogLimit,
@@ -191,11 +191,11 @@
         }
     }
 
-    /// Logs the requests that were rejected because their client sent them too far ahead, if a line is due.
+    /// Logs the requests that were rejected because they exceeded the buffers, if a line is due.
     pub(super) fn log_overflow(&self, id: ConnectionId, requests: usize) {
         if let Some(count) = self.overflows.record() {
             log::warn!(
-                "client connection {id}: {requests} requests rejected that were sent too far ahead \
+                "client connection {id}: {requests} requests rejected that exceeded the buffers \
                  ({count} such connections)"
             );
         }
--- /dev/null
+++ b/src/net/client/statement_memory.rs
@@ -0,0 +1,69 @@
+//! Buffers for statements that need more than one: how long a statement waits for them, and when it gives them up.
+
+use std::time::Duration;
+
+use tokio::time::{sleep, timeout_at, Instant};
+
+use super::connection::Connection;
+use super::pipeline_overflow::NO_MEMORY;
+use crate::net::buffers::{Arrival, BufferReservation};
+
+/// Longest time that a statement waits for buffers. Its time limit is at its end and not known yet; later, its
+/// rejection could come too late.
+const RESERVATION_TIMEOUT: Duration = Duration::from_millis(200);
+/// Length in bytes from which a statement waits without a limit. Its client cannot write its last byte, from which
+/// its time counts, before the proxy reads on.
+const LONG_STATEMENT_BYTES: usize = 128 * 1024;
+/// Interval at which a waiting statement is checked for having arrived completely.
+const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Time without a received byte after which a statement gives its buffers up to another one.
+const STALL_TIMEOUT: Duration = Duration::from_millis(500);
+
+impl Connection<'_> {
+    /// Reserves the buffers for a statement of `length` bytes, of which a part was received. Returns false without
+    /// a reservation if there is none in time: the statement then counts as overflow and is rejected. Also
+    /// returns false when a graceful shutdown ends the requests. The wait counts against the time of the
+    /// statement.
+    pub(super) async fn reserve_memory(&mut self, length: usize) -> bool {
+        let began_at = Instant::now();
+        let reservation = tokio::select! {
+            reservation = self.memory_in_time(length) => reservation,
+            () = self.shared.requests_ended() => return false,
+        };
+        if reservation.is_some() {
+            self.inbound.resume_reading(began_at);
+        } else {
+            self.inbound.begin_overflow(NO_MEMORY);
+        }
+        self.reservation = reservation;
+        self.reservation.is_some()
+    }
+
+    async fn memory_in_time(&self, length: usize) -> Option<BufferReservation> {
+        let pool = &self.shared.pool;
+        if length >= LONG_STATEMENT_BYTES {
+            return Some(pool.reserve(length, Arrival::Partial).await);
+        }
+        let deadline = Instant::now() + RESERVATION_TIMEOUT;
+        let missing_bytes = length - self.inbound.bytes().len();
+        while Instant::now() < deadline {
+            let has_arrived = self.inbound.unread_bytes() >= missing_bytes;
+            let arrival = if has_arrived { Arrival::Complete } else { Arrival::Partial };
+            let next_check = deadline.min(Instant::now() + ARRIVAL_CHECK_INTERVAL);
+            if let Ok(reservation) = timeout_at(next_check, pool.reserve(length, arrival)).await {
+                return Some(reservation);
+            }
+        }
+        None
+    }
+}
+
+/// Waits until a message with this reservation has received nothing for [`STALL_TIMEOUT`] and another one waits
+/// for buffers.
+pub(super) async fn has_stalled(reservation: Option<&BufferReservation>) {
+    sleep(STALL_TIMEOUT).await;
+    match reservation {
+        Some(reservation) => reservation.wanted_by_others().await,
+        None => std::future::pending().await,
+    }
+}
--- a/tests/memory_limit.rs
+++ b/tests/memory_limit.rs
@@ -2,7 +2,7 @@
 
 mod support;
 
-use std::io::Write;
+use std::io::{Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -196,3 +196,71 @@
         assert_eq!(message_kinds(&response), "EZ");
     }
 }
+
+/// Number of clients that stop in the middle of a statement.
+const STALLED_CLIENTS: usize = 60;
+/// Length of a statement in bytes whose client stops in the middle of it.
+const STALLED_BYTES: usize = 124_000;
+/// Length of the value of a usual write, in bytes, whose statement needs several buffers.
+const USUAL_VALUE_BYTES: usize = 10_000;
+/// Time that a usual write may take, in milliseconds.
+const WRITE_TIMEOUT_MS: u32 = 1300;
+
+/// Guards against clients that stop in the middle of a statement and keep the memory for statements from others: their
+/// writes were answered after their time. A statement that gets no memory is rejected at once.
+#[test]
+fn writes_are_answered_in_time_while_stalled_statements_fill_the_memory() {
+    let _alone = run_alone();
+    let server = ScriptedServer::start(ServerRole::Primary, reply_with_row);
+    let limits = ProcessLimits { memory_mb: 48, sockets: 1024 };
+    let proxy = start_proxy_with_limits(limits, &[server.endpoint("a", "read-write", "Ready")]);
+    let half = [startup(), query(&"x".repeat(STALLED_BYTES))[..STALLED_BYTES / 2].to_vec()].concat();
+    let stop = Arc::new(AtomicBool::new(false));
+    let stalled: Vec<_> = (0..STALLED_CLIENTS)
+        .map(|_| {
+            let (address, half, stop) = (proxy.address, half.clone(), stop.clone());
+            thread::spawn(move || {
+                while !stop.load(Ordering::Relaxed) {
+                    let Ok(mut stream) = TcpStream::connect(address) else { continue };
+                    let _ = stream.set_read_timeout(Some(Duration::from_millis(200)));
+                    let _ = stream.write_all(&half);
+                    let mut buffer = [0; 512];
+                    // Stays until the proxy closes the connection.
+                    while !stop.load(Ordering::Relaxed) {
+                        match stream.read(&mut buffer) {
+                            Ok(0) => break,
+                            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => break,
+                            _ => {}
+                        }
+                    }
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    let value = format!(r"'\x{}'", "0".repeat(2 * USUAL_VALUE_BYTES));
+    let mut client = Client::connect(&proxy);
+    let (mut served, mut longest) = (0, Duration::ZERO);
+    for number in 0..20 {
+        let statement = write_statement_with_id(&format!("usual-{number}"), WRITE_TIMEOUT_MS);
+        let sent_at = Instant::now();
+        let kinds = message_kinds(&client.request(&statement.replace(r"'\x00'", &value)));
+        let time = sent_at.elapsed();
+        longest = longest.max(time);
+        assert!(["TDCZ", "EZ"].contains(&kinds.as_str()), "write {number}: {kinds}");
+        assert!(
+            time < Duration::from_millis(u64::from(WRITE_TIMEOUT_MS) + 500),
+            "write {number} took {time:?}"
+        );
+        served += usize::from(kinds == "TDCZ");
+    }
+    println!("{served} of 20 served, the longest after {longest:?}");
+    let statements = server.statements();
+    let time_left =
+        statements.iter().filter_map(|text| text.rsplit_once(",d=")?.1.split(',').next()?.parse().ok());
+    assert!(time_left.max() <= Some(WRITE_TIMEOUT_MS));
+    drop(statements);
+    assert!(served > 0, "expected some writes to get memory");
+    stop.store(true, Ordering::Relaxed);
+    stalled.into_iter().for_each(|thread| thread.join().expect("no client panics"));
+}
