Play a seeded soak: upgrades, kills, floods, repeats and faults of the system together

Change: tests/soak, events by seed, checkers for lost, duplicate, late attempts, told deadlines, exit, memory; each checker reports a planted fault.

--- /dev/null
+++ b/tests/soak/checks.rs
@@ -0,0 +1,183 @@
+//! Rules that a soak checks, and its report.
+
+use std::collections::HashMap;
+use std::fmt;
+use std::time::{Duration, Instant};
+
+use crate::clients::{Departure, Ending, Outcome, TIMEOUT};
+use crate::events::Schedule;
+use crate::instance::{Instance, MEMORY_MB};
+use crate::servers::Arrival;
+
+/// A response up to half a second after its time is late; a later one is lost.
+const MAX_LATE_TIME: Duration = Duration::from_millis(500);
+/// Time after the close of a client within which an attempt for it may begin.
+const MAX_NOTICE_TIME: Duration = Duration::from_millis(100);
+/// Time by which the proxy may tell a server more than is left to the client.
+const MAX_TIME_LEFT_EXCESS: Duration = Duration::from_millis(150);
+/// Time by which this program may be held up between an event and its time stamp.
+const MEASURING_ERROR: Duration = Duration::from_millis(50);
+/// Time around a kill in which requests may end without a response.
+const KILL_PERIOD: Duration = Duration::from_millis(1500);
+const BYTES_PER_MEGABYTE: u64 = 1_000_000;
+
+/// Result of a soak.
+#[derive(Debug)]
+pub struct SoakReport {
+    seed: u64,
+    events: usize,
+    processes: usize,
+    requests: usize,
+    served: usize,
+    longest: Duration,
+    peak_memory: u64,
+    delayed_steps: usize,
+    pub violations: Vec<String>,
+}
+
+impl SoakReport {
+    pub fn new(seed: u64, schedule: &Schedule, instance: &Instance, outcomes: Vec<Outcome>) -> Self {
+        let arrivals = instance.servers.arrivals();
+        let departures = instance.requests.departures.lock().expect("no thread panics").clone();
+        let log = &instance.log;
+        let mut violations = log.violations.clone();
+        violations.extend(lost_requests(&outcomes, &log.kills));
+        violations.extend(repeated_writes(&arrivals));
+        violations.extend(attempts_after_departures(&arrivals, &departures));
+        violations.extend(excessive_times(&arrivals, &outcomes));
+        if log.peak_memory > u64::from(MEMORY_MB) * BYTES_PER_MEGABYTE {
+            violations.push(format!("memory: {} bytes", log.peak_memory));
+        }
+        Self {
+            seed,
+            events: schedule.events.len(),
+            processes: log.started,
+            requests: outcomes.len(),
+            served: outcomes.iter().filter(|outcome| outcome.ending == Ending::Served).count(),
+            longest: outcomes
+                .iter()
+                .map(|outcome| outcome.ended_at - outcome.sent_at)
+                .max()
+                .unwrap_or_default(),
+            peak_memory: log.peak_memory,
+            delayed_steps: log.delayed_steps.len(),
+            violations,
+        }
+    }
+}
+
+impl fmt::Display for SoakReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "seed {}: {} events, {} processes, {} requests, {} served, longest {} ms, {} lines of delayed steps, \
+             peak memory {:.1} MB, {} violations {:?}",
+            self.seed,
+            self.events,
+            self.processes,
+            self.requests,
+            self.served,
+            self.longest.as_millis(),
+            self.delayed_steps,
+            self.peak_memory as f64 / BYTES_PER_MEGABYTE as f64,
+            self.violations.len(),
+            self.violations,
+        )
+    }
+}
+
+/// Requests without a response in time. A kill excuses those that were open then.
+pub fn lost_requests(outcomes: &[Outcome], kills: &[Instant]) -> Vec<String> {
+    let is_excused = |outcome: &Outcome| {
+        kills
+            .iter()
+            .any(|kill| outcome.sent_at < *kill + KILL_PERIOD && outcome.ended_at + KILL_PERIOD > *kill)
+    };
+    let is_lost = |outcome: &&Outcome| match outcome.ending {
+        Ending::ConnectionEnded { .. } => true,
+        Ending::Unreachable => false, // the time between two processes, or after the last one
+        Ending::Served | Ending::Error => outcome.ended_at - outcome.sent_at > TIMEOUT + MAX_LATE_TIME,
+    };
+    let lost = outcomes.iter().filter(is_lost).filter(|outcome| !is_excused(outcome));
+    lost.map(|outcome| {
+        let time_ms = (outcome.ended_at - outcome.sent_at).as_millis();
+        format!("lost: {} ended as {:?} after {time_ms} ms", outcome.id, outcome.ending)
+    })
+    .collect()
+}
+
+/// Writes that the primary has received more than once.
+pub fn repeated_writes(arrivals: &[Arrival]) -> Vec<String> {
+    let mut counts: HashMap<&str, usize> = HashMap::new();
+    for arrival in arrivals.iter().filter(|arrival| arrival.is_write && arrival.is_at_primary) {
+        *counts.entry(&arrival.id).or_default() += 1;
+    }
+    let repeated = counts.into_iter().filter(|(_, count)| *count > 1);
+    repeated.map(|(id, count)| format!("duplicate: write {id} reached the primary {count} times")).collect()
+}
+
+/// Attempts that began too long after their client had left.
+pub fn attempts_after_departures(arrivals: &[Arrival], departures: &[Departure]) -> Vec<String> {
+    let late = departures.iter().flat_map(|departure| {
+        let allowed_until = departure.at + MAX_NOTICE_TIME + MEASURING_ERROR;
+        let is_late = move |arrival: &&Arrival| {
+            arrival.id.starts_with(&departure.id_prefix) && arrival.at > allowed_until
+        };
+        arrivals.iter().filter(is_late).map(|arrival| (arrival, arrival.at - departure.at))
+    });
+    late.map(|(arrival, after)| format!("lost: attempt of {} {after:?} after its client left", arrival.id))
+        .collect()
+}
+
+/// Attempts that told their server more time than was left to the client.
+pub fn excessive_times(arrivals: &[Arrival], outcomes: &[Outcome]) -> Vec<String> {
+    let sent_at: HashMap<_, _> = outcomes.iter().map(|outcome| (&*outcome.id, outcome.sent_at)).collect();
+    let excess = arrivals.iter().filter_map(|arrival| {
+        let ends_at = *sent_at.get(&*arrival.id)? + TIMEOUT;
+        let allowed = ends_at + MAX_TIME_LEFT_EXCESS + MEASURING_ERROR;
+        (arrival.at + arrival.time_left > allowed).then(|| arrival.at + arrival.time_left - ends_at)
+    });
+    excess.map(|by| format!("deadline: a server was told {by:?} more than was left")).collect()
+}
+
+#[cfg(test)]
+mod planted_faults {
+    use super::*;
+
+    fn outcome(ending: Ending, time_ms: u64) -> Outcome {
+        let sent_at = Instant::now();
+        Outcome { id: "a".to_owned(), sent_at, ended_at: sent_at + Duration::from_millis(time_ms), ending }
+    }
+
+    fn arrival(id: &str, at: Instant, time_left_ms: u64) -> Arrival {
+        Arrival {
+            id: id.to_owned(),
+            at,
+            time_left: Duration::from_millis(time_left_ms),
+            is_write: true,
+            is_at_primary: true,
+        }
+    }
+
+    #[test]
+    fn each_planted_fault_is_reported() {
+        let ended = outcome(Ending::ConnectionEnded { is_new: true }, 5);
+        let kill = ended.sent_at;
+        assert_eq!(lost_requests(std::slice::from_ref(&ended), &[]).len(), 1);
+        assert_eq!(lost_requests(&[ended], &[kill]).len(), 0, "a kill excuses it");
+        assert_eq!(lost_requests(&[outcome(Ending::Served, 1299)], &[]).len(), 0);
+        assert_eq!(lost_requests(&[outcome(Ending::Served, 1301)], &[]).len(), 1);
+        let now = Instant::now();
+        assert_eq!(repeated_writes(&[arrival("a", now, 1), arrival("b", now, 1)]).len(), 0);
+        assert_eq!(repeated_writes(&[arrival("a", now, 1), arrival("a", now, 1)]).len(), 1);
+        let departure = Departure { id_prefix: "a".to_owned(), at: now };
+        let late = arrival("a1", now + Duration::from_millis(160), 1);
+        let in_time = arrival("a2", now + Duration::from_millis(90), 1);
+        assert_eq!(attempts_after_departures(&[late, in_time], &[departure]).len(), 1);
+        let request = outcome(Ending::Served, 5);
+        let told = |time_left_ms| {
+            excessive_times(&[arrival("a", request.sent_at, time_left_ms)], std::slice::from_ref(&request))
+        };
+        assert_eq!((told(800).len(), told(1001).len()), (0, 1));
+    }
+}
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -4,9 +4,10 @@
 use std::net::{SocketAddr, TcpStream};
 use std::ops::{Deref, DerefMut};
 use std::path::Path;
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::mpsc;
+use std::time::{Duration, Instant};
 
 use pipittack_testkit::scripted_discovery::{full_list, ScriptedDiscovery};
 
@@ -45,6 +46,20 @@
     }
 }
 
+impl ChildGuard {
+    /// Waits until the process has ended, for `timeout` at most. Returns `None` if it still runs.
+    pub fn wait_timeout(&mut self, timeout: Duration) -> Option<ExitStatus> {
+        let started = Instant::now();
+        loop {
+            let status = self.0.try_wait().expect("the child can be waited for");
+            if status.is_some() || started.elapsed() >= timeout {
+                return status;
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    }
+}
+
 impl Deref for ChildGuard {
     type Target = Child;
 
