Watch discovery also where the settings say that lists come unasked

Change: the program reads both values as subscribe, with 10 s where AskEveryMs is 0. The adapter is unchanged.

--- a/src/settings/config.rs
+++ b/src/settings/config.rs
@@ -1,18 +1,21 @@
 //! The configuration file.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde_json::Value;
 
 use super::error::ConfigError;
 use super::ConnectionSettings;
-use crate::api::Settings;
+use crate::api::{DiscoveryMode, Settings};
 use crate::endpoint_list::EndpointList;
 
 /// Smallest number of open file descriptors with which a proxy process can work.
 pub const MIN_SOCKETS: usize = 64;
 
+/// Interval between calls to discovery if the settings give none, as where lists come unasked.
+const DEFAULT_POLL_INTERVAL: Duration = Duration::from_secs(10);
 /// Optional keys that a replacement of the file must have if the file has them.
 const KEPT_KEYS: [&str; 2] = ["name", "limits"];
 
@@ -81,7 +84,8 @@
         let content: Value = serde_json::from_str(text).map_err(ConfigError::Malformed)?;
         let mut config: Self = serde_json::from_str(text).map_err(ConfigError::Malformed)?;
         config.kept_keys = KEPT_KEYS.into_iter().filter(|key| content.get(*key).is_some()).collect();
-        let (settings, connections) = super::read(&config.settings)?;
+        let (mut settings, connections) = super::read(&config.settings)?;
+        watch_discovery(&mut settings);
         settings.validate()?;
         config.seed()?;
         if config.limits.sockets < MIN_SOCKETS {
@@ -121,6 +125,15 @@
     }
 }
 
+/// Lets the engine ask for lists also where the settings say that these come unasked. Over sockets, a list comes only
+/// on a watch that the proxy has opened.
+fn watch_discovery(settings: &mut Settings) {
+    settings.discovery = DiscoveryMode::Subscribe;
+    if settings.rules.poll_interval.is_zero() {
+        settings.rules.poll_interval = DEFAULT_POLL_INTERVAL;
+    }
+}
+
 /// Returns the path of a key of `current` that `updated` lacks. `path` is the path of both values. Nested
 /// objects are also compared; for arrays see [`find_missing_entry_key`].
 fn find_missing_key(current: &Value, updated: &Value, path: &str) -> Option<String> {
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -193,3 +193,32 @@
     });
     drop(idle);
 }
+
+/// Guards against a setting that is accepted and not served: a site whose lists come unasked got no list at all, and
+/// requests went to servers that drained.
+#[rstest]
+#[case::automatic(r#""Discovery": "automatic""#, r#""AskEveryMs": 10000"#)]
+#[case::no_interval(r#""Discovery": "automatic""#, r#""AskEveryMs": 0"#)]
+fn a_proxy_whose_lists_come_unasked_keeps_to_a_drain(#[case] mode: &str, #[case] interval: &str) {
+    let old = ScriptedServer::start(ServerRole::Primary, reply_with_row);
+    let new = ScriptedServer::start(ServerRole::Primary, reply_with_row);
+    let endpoints = [old.endpoint("a", "read-write", "Ready"), new.endpoint("b", "read-only", "Ready")];
+    let config = EXAMPLE_CONFIG
+        .replace(r#""Discovery": "subscribe""#, mode)
+        .replace(r#""AskEveryMs": 10000"#, interval);
+    let proxy = start_proxy_with_config(&config, &endpoints, None);
+    let mut client = Client::connect(&proxy);
+    assert_eq!(message_kinds(&client.request(&write_statement(3000))), "TDCZ");
+    proxy.discovery.request_lines.recv_timeout(TEST_TIMEOUT).expect("the proxy watches the list");
+    proxy.discovery.changes.send(primary_change(2, &old, &new)).expect("the discovery service is running");
+    let started = Instant::now();
+    while new.statement_count() == 0 {
+        assert!(started.elapsed() < TEST_TIMEOUT, "expected writes at the new primary");
+        client.request(&write_statement(3000));
+    }
+    let count_before = old.statement_count();
+    (0..10).for_each(|_| drop(client.request(&write_statement(3000))));
+    assert_eq!(old.statement_count(), count_before);
+    let further_calls = proxy.discovery.request_lines.try_iter().count();
+    assert!(further_calls <= 2, "{further_calls} further calls");
+}
