Let a result that has begun to arrive take until the deadline of its request

What callers saw: an answer of 60 KB that a server wrote over 0.85 s was cut off, with d = 1.5 s. Cause: the engine's timeout for an attempt, chosen for servers that do not respond, also ended attempts whose answer was arriving. Change: from the first message of a result on, the deadline is the request's. Notices and parameters extend nothing.

--- a/src/net/driver/commands.rs
+++ b/src/net/driver/commands.rs
@@ -40,8 +40,10 @@
     pub server: ServerId,
     /// Query of the request; all attempts of the request share it.
     pub query: Rc<Q>,
-    /// Time at which the attempt times out.
+    /// Time at which the attempt times out, unless its result has begun to arrive.
     pub deadline: Instant,
+    /// Time at which an attempt times out whose result has begun to arrive: the deadline of its request.
+    pub result_deadline: Instant,
     /// Time by which the last byte of the query must be written; `None` for no bound. From then on the server's
     /// data may exceed the staleness bound of a read, or servers forget the idempotency key of a request that
     /// may have been executed. A read at a server without a known replication position (always so for a
--- a/src/net/driver/step.rs
+++ b/src/net/driver/step.rs
@@ -182,6 +182,7 @@
             server,
             query: open.query.clone(),
             deadline: self.0.clock.to_instant(deadline),
+            result_deadline: self.0.clock.to_instant(open.deadline),
             send_deadline: send_deadline.map(|until| self.0.clock.to_instant(until)),
             writing_session: open.writing_session.clone(),
         };
--- a/src/net/server/attempt.rs
+++ b/src/net/server/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 
 use tokio::time::{timeout_at, Instant};
@@ -22,10 +23,14 @@
     ConnectingOrWriting,
     /// The last byte of the query is written, so the server may execute the query.
     Written,
+    /// The first message of the result has arrived, so the server has executed the query.
+    ReceivingResult,
 }
 
 impl ServerSide {
-    /// Runs an attempt until its result or its deadline. If the attempt fails after the last byte of the
+    /// Runs an attempt until its result or its deadline. The deadline of an attempt is chosen for a server that
+    /// does not respond; a result that has begun to arrive may take until the deadline of the request. If the
+    /// attempt fails after the last byte of the
     /// query was written, the outcome does not rule out execution, unless the server declined the query. An
     /// attempt that times out closes its connection.
     pub(super) async fn run_attempt(
@@ -33,7 +38,12 @@
         command: &AttemptCommand<Query>,
     ) -> AttemptResult<QueryResult> {
         let stage = Cell::new(AttemptStage::WaitingForSocket);
-        let outcome = match timeout_at(command.deadline, self.execute(command, &stage)).await {
+        let mut execution = pin!(self.execute(command, &stage));
+        let mut result = timeout_at(command.deadline, &mut execution).await;
+        if result.is_err() && stage.get() == AttemptStage::ReceivingResult {
+            result = timeout_at(command.result_deadline, execution).await;
+        }
+        let outcome = match result {
             Ok(Ok(result)) => return result,
             Ok(Err(e)) => {
                 self.log_attempt_error(command.server, &e);
@@ -104,7 +114,9 @@
                 },
             }
             stage.set(AttemptStage::Written);
-            let reply = read_reply(&self.buffers, &connection.stream, ExpectedReply::QueryResult).await?;
+            let on_result = || stage.set(AttemptStage::ReceivingResult);
+            let expected = ExpectedReply::QueryResult;
+            let reply = read_reply(&self.buffers, &connection.stream, expected, on_result).await?;
             Ok::<_, io::Error>(Some(reply))
         };
         let reply = exchange.await;
@@ -138,15 +150,17 @@
 fn outcome_of_error(stage: AttemptStage, error: &io::Error) -> Outcome {
     match stage {
         // The server is up and may have executed the query, but the proxy cannot use the reply.
-        AttemptStage::Written if error.kind() == io::ErrorKind::InvalidData => Outcome::ServerError,
-        AttemptStage::Written => Outcome::Reset,
+        AttemptStage::Written | AttemptStage::ReceivingResult => match error.kind() {
+            io::ErrorKind::InvalidData => Outcome::ServerError,
+            _ => Outcome::Reset,
+        },
         AttemptStage::WaitingForSocket | AttemptStage::ConnectingOrWriting => Outcome::ConnectFailed,
     }
 }
 
 fn outcome_of_timeout(stage: AttemptStage) -> Outcome {
     match stage {
-        AttemptStage::Written => Outcome::Timeout,
+        AttemptStage::Written | AttemptStage::ReceivingResult => Outcome::Timeout,
         // Servers do not execute an incomplete query.
         AttemptStage::ConnectingOrWriting => Outcome::ConnectFailed,
         AttemptStage::WaitingForSocket => Outcome::NotSent,
--- a/src/net/server/connection_pool.rs
+++ b/src/net/server/connection_pool.rs
@@ -210,7 +210,7 @@
         stream.set_nodelay(true)?;
         let startup = postgres::encode_startup_packet(LOGIN_USER, LOGIN_DATABASE);
         write_all(&stream, &mut [IoSlice::new(&startup)]).await?;
-        let reply = read_reply(&self.buffers, &stream, ExpectedReply::Startup).await?;
+        let reply = read_reply(&self.buffers, &stream, ExpectedReply::Startup, || {}).await?;
         Ok(match reply.sqlstate() {
             None if reply.is_connection_reusable() => {
                 let idle_since = Instant::now();
--- a/src/net/server/health_check.rs
+++ b/src/net/server/health_check.rs
@@ -56,7 +56,7 @@
         }
         let query = postgres::encode_simple_query(text);
         write_all(&connection.stream, &mut [IoSlice::new(&query)]).await?;
-        let reply = read_reply(&self.buffers, &connection.stream, ExpectedReply::QueryResult).await?;
+        let reply = read_reply(&self.buffers, &connection.stream, ExpectedReply::QueryResult, || {}).await?;
         if reply.is_connection_reusable() {
             self.connections.release(server, connection);
         }
--- a/src/net/server/reply.rs
+++ b/src/net/server/reply.rs
@@ -90,15 +90,21 @@
 }
 
 /// Reads a reply up to ReadyForQuery, or up to the start of a large row. Also accepts a complete result or an
-/// error without ReadyForQuery if the server closes the connection after it.
+/// error without ReadyForQuery if the server closes the connection after it. Calls `on_result` whenever a part of
+/// a result has arrived.
 pub(super) async fn read_reply(
     buffers: &BufferPool,
     stream: &TcpStream,
     expected: ExpectedReply,
+    on_result: impl Fn(),
 ) -> io::Result<Reply> {
     let mut reply = Reply::new(buffers, expected);
     loop {
-        if reply.process_messages().await? || reply.remaining_row_bytes.is_some() {
+        let is_ready = reply.process_messages().await?;
+        if !reply.result_messages.is_empty() {
+            on_result();
+        }
+        if is_ready || reply.remaining_row_bytes.is_some() {
             return Ok(reply);
         }
         let has_begun = reply.has_begun();
