--- a/tests/support/flood.rs
+++ b/tests/support/flood.rs
@@ -133,6 +133,8 @@
     pub sent: usize,
     /// Responses that came later than half a second after their time, or never.
     pub lost: usize,
+    /// Requests that got an error in time.
+    pub rejected: usize,
     pub longest: Duration,
 }
 
@@ -162,6 +164,7 @@
         results.fold(UsualResponses::default(), |sum, result| UsualResponses {
             sent: sum.sent + result.sent,
             lost: sum.lost + result.lost,
+            rejected: sum.rejected + result.rejected,
             longest: sum.longest.max(result.longest),
         })
     }
@@ -176,7 +179,9 @@
         let time = sent_at.elapsed();
         responses.sent += 1;
         responses.longest = responses.longest.max(time);
-        let is_answered = ["TDCZ", "EZ"].contains(&message_kinds(&response).as_str());
+        let kinds = message_kinds(&response);
+        let is_answered = ["TDCZ", "EZ"].contains(&kinds.as_str());
+        responses.rejected += usize::from(kinds == "EZ");
         responses.lost += usize::from(!is_answered || time > MAX_RESPONSE_TIME);
         if !is_answered {
             return responses;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unused_imports)] // no test crate uses all of this module
 
 mod client;
+mod crowd;
 mod delayed_server;
 mod flood;
 mod manual_discovery;
@@ -19,6 +20,7 @@
 pub use client::{
     assert_error_response, connect_with_response, error_field, message_kinds, Client, Response,
 };
+pub use crowd::{requested_answer_bytes, Behaviour, Crowd, MIX};
 pub use delayed_server::DelayedServer;
 pub use flood::{
     peak_memory_bytes, usual_responses_beside_flood, Flood, FloodingClients, UsualClients, UsualResponses,
