--- a/tests/soak/events.rs
+++ b/tests/soak/events.rs
@@ -46,6 +46,8 @@
     Flood { name: &'static str, clients: usize },
     /// Clients connect and send nothing.
     Crowd(usize),
+    /// Clients of every slow kind connect and stay until the end.
+    SlowCrowd(usize),
     /// Clients send requests ahead and leave.
     Leave { bytes_ahead: usize },
     /// Writes come again under their ids after their clients have left.
@@ -77,13 +79,17 @@
 }
 
 impl Schedule {
-    /// Draws the events of a seed. Each third seed begins with a crowd of idle clients.
+    /// Draws the events of a seed. Each third seed begins with a crowd of idle clients, each fifth with one of slow
+    /// clients.
     pub fn draw(seed: u64) -> Self {
         let mut random = Random::new(seed);
         let mut events = Vec::new();
         if seed.is_multiple_of(3) {
             events.push(Event { pause: Duration::ZERO, kind: EventKind::Crowd(200) });
         }
+        if seed % 5 == 2 {
+            events.push(Event { pause: Duration::ZERO, kind: EventKind::SlowCrowd(200) });
+        }
         for _ in 0..EVENTS {
             let pause = Duration::from_millis(random.below(MAX_PAUSE_MS));
             events.push(Event { pause, kind: draw_kind(&mut random) });
--- a/tests/support/client.rs
+++ b/tests/support/client.rs
@@ -1,12 +1,13 @@
 //! PostgreSQL client that sends raw bytes to the proxy.
 
 use std::io::Write;
+use std::net::SocketAddr;
 
 use pipittack_testkit::closing_stream::ClosingStream;
 use pipittack_testkit::wire::{query, read_message, startup};
 
 use super::proxy::Proxy;
-use super::TEST_TIMEOUT;
+use super::{wait_until, TEST_TIMEOUT};
 
 /// Client connection to the proxy.
 pub struct Client {
@@ -31,6 +32,29 @@
         client
     }
 
+    /// Opens a connection to this address and completes its startup. Tries again while the startup fails.
+    pub fn connect_to(address: SocketAddr) -> Self {
+        let mut connected = None;
+        wait_until("a connection to the address", || {
+            connected = ClosingStream::connect(address).ok().and_then(|stream| {
+                stream.set_read_timeout(Some(TEST_TIMEOUT)).ok()?;
+                let mut client = Self { stream };
+                client.stream.write_all(&startup()).ok()?;
+                (client.read_response().last()?.0 == b'Z').then_some(client)
+            });
+            connected.is_some()
+        });
+        connected.expect("the client is connected")
+    }
+
+    /// Sends a simple query and reads its response, which is empty if the connection has been closed.
+    pub fn try_request(&mut self, text: &str) -> Response {
+        if self.stream.write_all(&query(text)).is_err() {
+            return Response::new();
+        }
+        self.read_response()
+    }
+
     pub fn send(&mut self, bytes: &[u8]) {
         self.stream.write_all(bytes).expect("the proxy has not closed the connection");
     }
