Limit the fields of a comment: their list took many times the memory of the text

Callers saw a process over its limit. A field of four bytes took 48 bytes in the list that is parsed before names are checked, and an entry in a list of names: a statement of 8 MB asked for some 100 MB at once, for one client. More than 256 fields are no statement now (42601).

--- a/src/net/postgres/statement.rs
+++ b/src/net/postgres/statement.rs
@@ -13,6 +13,8 @@
 
 use super::{ParseFailure, MAX_VALUE_BYTES};
 
+/// Largest number of fields in a comment. More of them would take many times the memory of the text.
+const MAX_FIELDS: usize = 256;
 /// Fields of the comment that routing requires.
 const REQUIRED_FIELDS: [&str; 4] = ["c", "cluster", "d", "id"];
 
@@ -89,7 +91,7 @@
 }
 
 fn comment<'t>(text: &mut Text<'t>) -> Result<Vec<Field<'t>>, ParseFailure> {
-    let fields = separated::<_, _, Vec<_>, _, _, _, _>(1.., field, (b',', multispace0));
+    let fields = separated::<_, _, Vec<_>, _, _, _, _>(1..=MAX_FIELDS, field, (b',', multispace0));
     let comment = delimited((literal("/*"), multispace0), fields, (multispace0, literal("*/")));
     cut_err(terminated(comment, (multispace0, opt(b';'), multispace0, eof))).parse_next(text)
 }
