--- a/src/net/admin/server.rs
+++ b/src/net/admin/server.rs
@@ -17,7 +17,7 @@
 
 use super::http::{parse_call, AdminCall, HttpStatus, Response};
 use super::AdminApi;
-use crate::net::buffers::{self, write_all, BufferPool};
+use crate::net::buffers::{write_all, BufferPool};
 use crate::net::log_limit::LogLimit;
 use crate::net::retry::pause_after_accept_error;
 use crate::net::turn::{charge, Work};
@@ -28,6 +28,8 @@
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time limit for reading and discarding what the caller sends after the proxy has shut down writing.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(500);
+/// Length in bytes of the longest head of a call.
+const MAX_HEAD_BYTES: usize = 8 * 1024;
 /// End of the head of a call: the line end of the last line, and the empty line.
 const HEAD_END: &[u8] = b"\r\n\r\n";
 
@@ -101,16 +103,17 @@
     let mut received = pool.chain();
     let mut head = Vec::new();
     loop {
-        received.copy(0..received.len(), &mut head);
+        received.slices(0..received.len()).for_each(|slice| head.extend_from_slice(slice));
+        received.clear();
         if let Some(end) = head.windows(HEAD_END.len()).position(|bytes| bytes == HEAD_END) {
             head.truncate(end + HEAD_END.len());
             return parse_call(&head).map_err(ReadError::Rejected);
         }
-        if received.len() >= buffers::BUFFER_BYTES {
+        if head.len() >= MAX_HEAD_BYTES {
             return Err(ReadError::Rejected(HttpStatus::HeaderFieldsTooLarge));
         }
         if received.read_from(stream).await? == 0 {
-            return Err(if received.is_empty() {
+            return Err(if head.is_empty() {
                 ReadError::Io(io::ErrorKind::UnexpectedEof.into())
             } else {
                 ReadError::Rejected(HttpStatus::BadRequest)
--- a/src/net/buffers/mod.rs
+++ b/src/net/buffers/mod.rs
@@ -1,12 +1,15 @@
 //! Pooled buffers of a fixed size, and chains of buffers for messages that are longer than one buffer.
 //!
 //! A buffer is acquired from the pool when a socket has bytes to read, and released when the bytes are no
-//! longer needed. A peer that has sent nothing occupies no buffer.
+//! longer needed. A peer that has sent nothing occupies no buffer. All bytes of peers are in such buffers: a chain
+//! holds more than one only if the pool has reserved them.
 
+mod arena;
 mod chain;
 mod pool;
 mod write;
 
+pub use arena::BUFFER_BYTES;
 pub use chain::BufferChain;
-pub use pool::{Arrival, BufferPool, BufferReservation, ReadAheadReservation, BUFFER_BYTES};
-pub use write::write_all;
+pub use pool::{Arrival, BufferPool, BufferReservation, Demand, PoolUsage, Purpose};
+pub use write::{write_all, write_chain};
--- a/src/net/buffers/pool.rs
+++ b/src/net/buffers/pool.rs
@@ -1,26 +1,30 @@
-//! The buffer pool, and the admission of messages that need more than one buffer.
+//! The buffer pool, and the admission of what needs more than one buffer.
+//!
+//! Every buffer belongs to a chain. The first buffer of a chain needs no reservation: there are as many of them as
+//! the process has connections, which its memory budget counts. Each further buffer is charged to the purpose for
+//! which it was reserved, from the reservation until the buffer is released, whichever chain it is moved to.
 
 use std::cell::{Cell, RefCell};
+use std::fmt::{self, Display, Formatter};
 use std::rc::Rc;
 
 use tokio::sync::{Mutex, Notify};
 
+use super::arena::{Arena, Buffer, BUFFER_BYTES};
 use super::chain::BufferChain;
 
-/// Size of a buffer in bytes. Most statements and responses fit into one buffer.
-pub const BUFFER_BYTES: usize = 8192;
-/// Largest number of idle buffers that the pool keeps. Further buffers are freed on release.
-const MAX_IDLE_BUFFERS: usize = 512;
+/// Size of a buffer with the entries for it in the lists of its chain and of its segment, in bytes.
+const BUFFER_COST_BYTES: usize = BUFFER_BYTES + 128;
+/// Length in bytes of the shortest message that counts as long.
+const LONG_MESSAGE_BYTES: usize = 8 * 1024;
 /// Length in bytes of the shortest message that counts as very long.
 const VERY_LONG_MESSAGE_BYTES: usize = 128 * 1024;
 
-/// Share of a length class that messages may fill of which a part has not arrived. A client that stops in the middle
+/// Share of a purpose that messages may fill of which a part has not arrived. A client that stops in the middle
 /// of a message then keeps no memory from those that have arrived.
 const PARTIAL_SHARE: f64 = 0.5;
-/// Share of the pool for what clients send ahead while a request of theirs is in flight.
-const READ_AHEAD_SHARE: f64 = 0.125;
-
-pub(super) type Buffer = Box<[u8; BUFFER_BYTES]>;
+/// Share of the pool that the only reservation for a purpose may fill.
+const MAX_SINGLE_SHARE: f64 = 0.75;
 
 /// How much of a message has arrived when its buffers are reserved.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -31,28 +35,50 @@
     Partial,
 }
 
-/// Length class of a message that needs more than one buffer. Each class may fill only its own share of the
-/// pool, so that neither class starves the other, or messages that fit into one buffer.
-#[derive(Clone, Copy)]
-enum LengthClass {
-    Long,
-    VeryLong,
+/// What buffers are reserved for. Each purpose may fill only its own share of the pool, so that none starves another
+/// one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// A client's message that needs a few buffers.
+    ShortMessage,
+    /// A client's message of 8 to 128 KiB.
+    LongMessage,
+    /// A client's message of 128 KiB or more.
+    VeryLongMessage,
+    /// What a client sends while a request of its is in flight.
+    ReadAhead,
+    /// What a data server sends.
+    Answer,
+    /// State of a request in flight, outside the pool.
+    Request,
 }
 
-impl LengthClass {
-    fn of(bytes: usize) -> Self {
-        if bytes >= VERY_LONG_MESSAGE_BYTES {
-            Self::VeryLong
-        } else {
-            Self::Long
+impl Purpose {
+    const ALL: [Self; 6] = [
+        Self::ShortMessage,
+        Self::LongMessage,
+        Self::VeryLongMessage,
+        Self::ReadAhead,
+        Self::Answer,
+        Self::Request,
+    ];
+
+    /// Returns the purpose of a client's message of this length in bytes.
+    pub fn of_message(bytes: usize) -> Self {
+        match bytes {
+            VERY_LONG_MESSAGE_BYTES.. => Self::VeryLongMessage,
+            LONG_MESSAGE_BYTES.. => Self::LongMessage,
+            _ => Self::ShortMessage,
         }
     }
 
-    /// Returns the share of the pool that messages of this class may fill.
+    /// Returns the share of the pool that this purpose may fill. The sum of all is 1.
     fn max_share(self) -> f64 {
         match self {
-            Self::Long => 0.125,
-            Self::VeryLong => 0.75,
+            Self::ShortMessage | Self::LongMessage => 0.1,
+            Self::VeryLongMessage | Self::Request => 0.3,
+            Self::ReadAhead => 0.06,
+            Self::Answer => 0.14,
         }
     }
 }
@@ -62,37 +88,38 @@
 pub struct BufferPool(Rc<Shared>);
 
 struct Shared {
-    state: RefCell<PoolState>,
-    long: Admission,
-    very_long: Admission,
-    /// Bytes that are reserved for what clients send ahead.
-    read_ahead_bytes: Cell<usize>,
+    arena: RefCell<Arena>,
+    accounts: [Account; Purpose::ALL.len()],
+    /// Number of buffers that may be reserved.
+    max_buffers: usize,
+    /// Share of `max_buffers` that this process may use, from 0 to 1.
+    share: Cell<f64>,
 }
 
-/// Admission of the messages of one length class, in the order of arrival.
+/// Reserved buffers for one purpose, and the messages that wait for some, in the order of arrival.
 #[derive(Default)]
-struct Admission {
+struct Account {
     /// Held by the complete message at the head of the queue; later ones wait for the lock in order.
     complete_queue: Mutex<()>,
     /// Held by the partial message at the head of the queue; later ones wait for the lock in order.
     partial_queue: Mutex<()>,
-    reserved_bytes: Cell<usize>,
+    reserved_buffers: Cell<usize>,
     /// Number of messages that wait for a reservation.
     waiting: Cell<usize>,
     /// Notified when a message begins to wait.
     wait_begun: Notify,
-    /// Notified when a reservation is released or the process's share of the pool changes.
+    /// Notified when buffers are released or the process's share of the pool changes.
     released: Notify,
 }
 
 /// Counts a message among those that wait for a reservation until it is dropped.
-struct WaitingGuard<'a>(&'a Admission);
+struct WaitingGuard<'a>(&'a Account);
 
 impl<'a> WaitingGuard<'a> {
-    fn new(admission: &'a Admission) -> Self {
-        admission.waiting.set(admission.waiting.get() + 1);
-        admission.wait_begun.notify_waiters();
-        Self(admission)
+    fn new(account: &'a Account) -> Self {
+        account.waiting.set(account.waiting.get() + 1);
+        account.wait_begun.notify_waiters();
+        Self(account)
     }
 }
 
@@ -102,75 +129,122 @@
     }
 }
 
-struct PoolState {
-    idle: Vec<Buffer>,
-    /// Size of the pool, in buffers, by which reservations are limited.
-    max_buffers: usize,
-    /// Share of `max_buffers` that this process may use, from 0 to 1.
-    share: f64,
+/// A buffer with the purpose to which it is charged.
+pub(super) struct ChargedBuffer {
+    buffer: Buffer,
+    /// `None` for the buffer that a chain holds without a reservation.
+    purpose: Option<Purpose>,
 }
 
-/// Reserved bytes of the pool for a message that needs more than one buffer; released when dropped.
+impl ChargedBuffer {
+    pub(super) fn bytes(&self) -> &[u8] {
+        self.buffer.bytes()
+    }
+
+    pub(super) fn bytes_mut(&mut self) -> &mut [u8] {
+        self.buffer.bytes_mut()
+    }
+
+    pub(super) fn is_uncharged(&self) -> bool {
+        self.purpose.is_none()
+    }
+}
+
+/// Buffers of the pool that are reserved and not used yet; released when dropped.
 pub struct BufferReservation {
     pool: BufferPool,
-    class: LengthClass,
-    bytes: usize,
+    purpose: Purpose,
+    buffers: usize,
 }
 
 impl Drop for BufferReservation {
     fn drop(&mut self) {
-        let admission = self.pool.admission(self.class);
-        admission.reserved_bytes.set(admission.reserved_bytes.get() - self.bytes);
-        admission.released.notify_waiters();
+        self.pool.uncharge(self.purpose, self.buffers);
     }
 }
 
 impl BufferReservation {
-    /// Waits until another message of the same length class waits for a reservation.
-    pub async fn wanted_by_others(&self) {
-        let admission = self.pool.admission(self.class);
-        loop {
-            let wait_begun = admission.wait_begun.notified();
-            if admission.waiting.get() > 0 {
-                return;
-            }
-            wait_begun.await;
+    /// Returns the number of reserved buffers that are not used yet.
+    pub fn buffers(&self) -> usize {
+        self.buffers
+    }
+
+    /// Returns what the buffers are reserved for.
+    pub fn purpose(&self) -> Purpose {
+        self.purpose
+    }
+
+    /// Reserves further buffers. Returns false, and reserves nothing, if they do not fit.
+    pub fn try_extend(&mut self, buffers: usize) -> bool {
+        let fits = self.pool.fits(buffers, self.purpose, Arrival::Complete);
+        if fits {
+            self.pool.charge(self.purpose, buffers);
+            self.buffers += buffers;
         }
+        fits
+    }
+
+    /// Returns all but `bytes` bytes to the pool, if more are reserved.
+    pub fn shrink_to_bytes(&mut self, bytes: usize) {
+        let released = self.buffers.saturating_sub(bytes.div_ceil(BUFFER_BYTES));
+        self.buffers -= released;
+        self.pool.uncharge(self.purpose, released);
+    }
+
+    /// Returns a handle that tells whether others wait for such buffers.
+    pub fn demand(&self) -> Demand {
+        Demand { pool: self.pool.clone(), purpose: self.purpose }
     }
 }
 
-/// Bytes of the pool that are reserved for what one client sends ahead; released when dropped.
-pub struct ReadAheadReservation {
+/// The messages that wait for buffers of one purpose.
+pub struct Demand {
     pool: BufferPool,
-    bytes: usize,
+    purpose: Purpose,
 }
 
-impl ReadAheadReservation {
-    /// Raises the reservation to `bytes` bytes. Returns false, and changes nothing, if the share of the pool for
-    /// such bytes is used up.
-    pub fn try_extend_to(&mut self, bytes: usize) -> bool {
-        let additional = bytes.saturating_sub(self.bytes);
-        let reserved = &self.pool.0.read_ahead_bytes;
-        if additional > 0 && reserved.get() + additional > self.pool.share_in_bytes(READ_AHEAD_SHARE) {
-            return false;
+impl Demand {
+    /// Waits until a message waits for a reservation.
+    pub async fn wait(&self) {
+        let account = self.pool.account(self.purpose);
+        loop {
+            let wait_begun = account.wait_begun.notified();
+            if account.waiting.get() > 0 {
+                return;
+            }
+            wait_begun.await;
         }
-        reserved.set(reserved.get() + additional);
-        self.bytes += additional;
-        true
     }
+}
 
-    /// Lowers the reservation to `bytes` bytes, if it is higher.
-    pub fn shrink_to(&mut self, bytes: usize) {
-        let released = self.bytes.saturating_sub(bytes);
-        let reserved = &self.pool.0.read_ahead_bytes;
-        reserved.set(reserved.get() - released);
-        self.bytes -= released;
-    }
+/// Use of the pool.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PoolUsage {
+    /// Bytes that are reserved for client messages.
+    pub message_bytes: usize,
+    /// Bytes that are reserved for what clients send ahead.
+    pub read_ahead_bytes: usize,
+    /// Bytes that are reserved for answers of data servers.
+    pub answer_bytes: usize,
+    /// Bytes that are reserved for the state of requests in flight.
+    pub request_bytes: usize,
+    /// Bytes that may be reserved.
+    pub max_bytes: usize,
+    /// Bytes that were allocated for buffers, used or not.
+    pub allocated_bytes: usize,
+    /// Number of messages that wait for buffers.
+    pub waiting: usize,
 }
 
-impl Drop for ReadAheadReservation {
-    fn drop(&mut self) {
-        self.shrink_to(0);
+impl Display for PoolUsage {
+    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
+        let Self { message_bytes, read_ahead_bytes, answer_bytes, request_bytes, .. } = self;
+        write!(
+            f,
+            "messages={message_bytes} read_ahead={read_ahead_bytes} answers={answer_bytes} requests={request_bytes} \
+             max={} allocated={} waiting={}",
+            self.max_bytes, self.allocated_bytes, self.waiting
+        )
     }
 }
 
@@ -182,52 +256,63 @@
 }
 
 impl BufferPool {
-    /// Creates a pool of at most `max_bytes` bytes, by which reservations are limited.
+    /// Creates a pool of which `max_bytes` bytes can be reserved.
     pub fn new(max_bytes: usize) -> Self {
-        let state = PoolState { idle: Vec::new(), max_buffers: max_bytes / BUFFER_BYTES, share: 1.0 };
         Self(Rc::new(Shared {
-            state: RefCell::new(state),
-            long: Admission::default(),
-            very_long: Admission::default(),
-            read_ahead_bytes: Cell::new(0),
+            arena: RefCell::default(),
+            accounts: Default::default(),
+            max_buffers: max_bytes / BUFFER_COST_BYTES,
+            share: Cell::new(1.0),
         }))
     }
 
-    /// Waits until the pool has room for a message of `bytes` bytes, and reserves all of it at once. Messages
-    /// that each held only a part of their buffers could block each other indefinitely. A message of any
-    /// length is admitted if no other one of its length class holds a reservation. Each socket may use a
-    /// single buffer without a reservation.
-    pub async fn reserve(&self, bytes: usize, arrival: Arrival) -> BufferReservation {
-        let class = LengthClass::of(bytes);
-        let admission = self.admission(class);
-        let _waiting = WaitingGuard::new(admission);
+    /// Waits until the pool has `buffers` buffers for a message, and reserves all of them at once. Messages
+    /// that each held only a part of their buffers could block each other indefinitely. Returns `None` at once if
+    /// the pool is too small for the message.
+    pub async fn reserve(
+        &self,
+        buffers: usize,
+        purpose: Purpose,
+        arrival: Arrival,
+    ) -> Option<BufferReservation> {
+        let account = self.account(purpose);
+        let _waiting = WaitingGuard::new(account);
         let queue = match arrival {
-            Arrival::Complete => &admission.complete_queue,
-            Arrival::Partial => &admission.partial_queue,
+            Arrival::Complete => &account.complete_queue,
+            Arrival::Partial => &account.partial_queue,
         };
         let _queue_head = queue.lock().await;
         loop {
-            let released = admission.released.notified();
-            let reserved = admission.reserved_bytes.get();
-            if reserved == 0 || reserved + bytes <= self.max_bytes(class, arrival) {
+            let released = account.released.notified();
+            if buffers > self.share_in_buffers(MAX_SINGLE_SHARE) {
+                return None;
+            }
+            if self.fits(buffers, purpose, arrival) {
                 break;
             }
             released.await;
         }
-        admission.reserved_bytes.set(admission.reserved_bytes.get() + bytes);
-        BufferReservation { pool: self.clone(), class, bytes }
+        self.charge(purpose, buffers);
+        Some(BufferReservation { pool: self.clone(), purpose, buffers })
+    }
+
+    /// Reserves buffers without waiting. Returns `None` if they do not fit.
+    pub fn try_reserve(&self, buffers: usize, purpose: Purpose) -> Option<BufferReservation> {
+        let mut reservation = BufferReservation { pool: self.clone(), purpose, buffers: 0 };
+        reservation.try_extend(buffers).then_some(reservation)
     }
 
-    /// Creates an empty reservation for what a client sends ahead.
-    pub fn read_ahead(&self) -> ReadAheadReservation {
-        ReadAheadReservation { pool: self.clone(), bytes: 0 }
+    /// Reserves buffers in place of `bytes` bytes that are kept outside the pool. Returns `None` if they do not fit.
+    pub fn try_reserve_bytes(&self, bytes: usize, purpose: Purpose) -> Option<BufferReservation> {
+        self.try_reserve(bytes.div_ceil(BUFFER_BYTES), purpose)
     }
 
     /// Limits this process to a share of the pool, from 0 to 1. Another process uses the rest.
     pub fn set_share(&self, share: f64) {
-        self.0.state.borrow_mut().share = share;
-        self.0.long.released.notify_waiters();
-        self.0.very_long.released.notify_waiters();
+        if share < self.0.share.replace(share) {
+            self.0.arena.borrow_mut().free_idle_segments();
+        }
+        self.notify_waiting();
     }
 
     /// Creates an empty chain that acquires its buffers from this pool.
@@ -237,42 +322,81 @@
 
     /// Returns the number of idle buffers.
     pub fn idle_buffers(&self) -> usize {
-        self.0.state.borrow().idle.len()
+        self.0.arena.borrow().idle_buffers()
+    }
+
+    /// Returns how much of the pool is in use.
+    pub fn usage(&self) -> PoolUsage {
+        let reserved = |purpose| self.account(purpose).reserved_buffers.get() * BUFFER_COST_BYTES;
+        let messages = [Purpose::ShortMessage, Purpose::LongMessage, Purpose::VeryLongMessage];
+        PoolUsage {
+            message_bytes: messages.into_iter().map(reserved).sum(),
+            read_ahead_bytes: reserved(Purpose::ReadAhead),
+            answer_bytes: reserved(Purpose::Answer),
+            request_bytes: reserved(Purpose::Request),
+            max_bytes: self.share_in_buffers(1.0).saturating_mul(BUFFER_COST_BYTES),
+            allocated_bytes: self.0.arena.borrow().allocated_bytes(),
+            waiting: self.0.accounts.iter().map(|account| account.waiting.get()).sum(),
+        }
     }
 
-    pub(super) fn acquire(&self) -> Buffer {
-        let mut state = self.0.state.borrow_mut();
-        state.idle.pop().unwrap_or_else(|| Box::new([0; BUFFER_BYTES]))
+    /// Returns a buffer: one of a reservation, if it has one left, else one without a charge.
+    pub(super) fn acquire(&self, reservation: Option<&mut BufferReservation>) -> ChargedBuffer {
+        let purpose = reservation.filter(|reservation| reservation.buffers > 0).map(|reservation| {
+            reservation.buffers -= 1;
+            reservation.purpose
+        });
+        ChargedBuffer { buffer: self.0.arena.borrow_mut().acquire(), purpose }
     }
 
-    pub(super) fn release(&self, buffers: impl Iterator<Item = Buffer>) {
-        let mut state = self.0.state.borrow_mut();
-        for buffer in buffers {
-            if state.idle.len() < MAX_IDLE_BUFFERS {
-                state.idle.push(buffer);
-            }
+    /// Takes a buffer back. Its charge goes to the reservation it came from, if that is given.
+    pub(super) fn release(&self, buffer: ChargedBuffer, reservation: Option<&mut BufferReservation>) {
+        self.0.arena.borrow_mut().release(buffer.buffer);
+        let Some(purpose) = buffer.purpose else { return };
+        match reservation.filter(|reservation| reservation.purpose == purpose) {
+            Some(reservation) => reservation.buffers += 1,
+            None => self.uncharge(purpose, 1),
         }
     }
 
-    fn admission(&self, class: LengthClass) -> &Admission {
-        match class {
-            LengthClass::Long => &self.0.long,
-            LengthClass::VeryLong => &self.0.very_long,
+    fn charge(&self, purpose: Purpose, buffers: usize) {
+        let reserved = &self.account(purpose).reserved_buffers;
+        reserved.set(reserved.get() + buffers);
+    }
+
+    fn uncharge(&self, purpose: Purpose, buffers: usize) {
+        let reserved = &self.account(purpose).reserved_buffers;
+        reserved.set(reserved.get() - buffers);
+        if buffers > 0 {
+            self.notify_waiting();
         }
     }
 
-    fn max_bytes(&self, class: LengthClass, arrival: Arrival) -> usize {
-        let share = match (class, arrival) {
-            (LengthClass::Long, Arrival::Partial) => class.max_share() * PARTIAL_SHARE,
+    fn notify_waiting(&self) {
+        let waiting = self.0.accounts.iter().filter(|account| account.waiting.get() > 0);
+        waiting.for_each(|account| account.released.notify_waiters());
+    }
+
+    /// Returns whether `buffers` buffers can be reserved now: within the share of their purpose, or a larger share
+    /// if there is no other reservation for that purpose, and within the pool.
+    fn fits(&self, buffers: usize, purpose: Purpose, arrival: Arrival) -> bool {
+        let share = match (purpose, arrival) {
             // A very long message never fits into the socket buffer, so that none of them is complete.
-            (LengthClass::Long, Arrival::Complete) | (LengthClass::VeryLong, _) => class.max_share(),
+            (Purpose::VeryLongMessage, _) | (_, Arrival::Complete) => purpose.max_share(),
+            (_, Arrival::Partial) => purpose.max_share() * PARTIAL_SHARE,
         };
-        self.share_in_bytes(share)
+        let reserved = self.account(purpose).reserved_buffers.get();
+        let share = if reserved == 0 { MAX_SINGLE_SHARE } else { share };
+        let total: usize = self.0.accounts.iter().map(|account| account.reserved_buffers.get()).sum();
+        reserved + buffers <= self.share_in_buffers(share) && total + buffers <= self.share_in_buffers(1.0)
+    }
+
+    fn account(&self, purpose: Purpose) -> &Account {
+        &self.0.accounts[purpose as usize]
     }
 
-    /// Returns a share of the part of the pool that this process may use, in bytes.
-    fn share_in_bytes(&self, share: f64) -> usize {
-        let state = self.0.state.borrow();
-        (state.max_buffers as f64 * state.share * share) as usize * BUFFER_BYTES
+    /// Returns a share of the part of the pool that this process may use, in buffers.
+    fn share_in_buffers(&self, share: f64) -> usize {
+        (self.0.max_buffers as f64 * self.0.share.get() * share) as usize
     }
 }
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -1,7 +1,9 @@
 //! The task of a client connection: it reads messages, dispatches them and closes the connection.
 
 use std::cell::Cell;
+use std::future::Future;
 use std::io::{self, IoSlice};
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,7 +18,7 @@
 use super::service_phase::ServicePhase;
 use super::shared::Shared;
 use super::statement_memory::has_stalled;
-use crate::net::buffers::{self, write_all, BufferReservation};
+use crate::net::buffers::write_all;
 use crate::net::hot_restart::frame::Successor;
 use crate::net::postgres::{self, Severity};
 
@@ -32,7 +34,7 @@
 /// must make progress within that time.
 const MAX_SHORT_MESSAGE_BYTES: usize = 144 * 1024;
 /// Time limit for one write to a client.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+pub(super) const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 pub(super) const TOO_MANY_CLIENTS: &str = "sorry, too many clients already";
 
 /// State of a connection when this process takes it on.
@@ -142,7 +144,6 @@
             inbound: Inbound::new(stream.clone(), &shared.pool),
             stream,
             stage,
-            reservation: None,
             no_request_guard,
             may_be_handed_over: false,
             eviction,
@@ -151,16 +152,21 @@
         let result = connection.serve().await;
         connection.log_connection_end(result);
         match connection.handover_target() {
-            Some(successor) => connection.hand_over(&successor).await,
+            Some(successor) => boxed(|| connection.hand_over(&successor)).await,
             None => {
                 guard.mark_inactive();
-                connection.close().await;
+                boxed(|| connection.close()).await;
             }
         }
     });
     shared.share_sockets();
 }
 
+/// Creates a future on the heap. The task of an idle connection then has no memory for it.
+pub(super) fn boxed<F: Future>(create: impl FnOnce() -> F) -> Pin<Box<F>> {
+    Box::pin(create())
+}
+
 /// A client connection.
 pub(super) struct Connection<'s> {
     pub(super) shared: &'s Shared,
@@ -170,8 +176,6 @@
     pub(super) stream: Rc<TcpStream>,
     pub(super) inbound: Inbound,
     stage: Stage,
-    /// Buffers reserved for the message that is being read; `None` while one buffer holds the message.
-    pub(super) reservation: Option<BufferReservation>,
     /// Counts the connection among those without a request; `None` once a request was submitted.
     pub(super) no_request_guard: Option<NoRequestGuard>,
     /// Whether this process ended the connection while it was idle, with no bytes left unread.
@@ -186,7 +190,7 @@
     async fn serve(&mut self) -> io::Result<()> {
         self.stream.set_nodelay(true)?;
         if let Stage::Startup { at_limit } = self.stage {
-            if self.run_startup(at_limit).await? == Flow::End {
+            if boxed(|| self.run_startup(at_limit)).await? == Flow::End {
                 return Ok(());
             }
             self.stage = Stage::Ready;
@@ -200,11 +204,11 @@
                     }
                 }
                 NextMessage::Overflow => {
-                    if self.answer_overflow().await? == Flow::End {
+                    if boxed(|| self.answer_overflow()).await? == Flow::End {
                         return Ok(());
                     }
                 }
-                NextMessage::RequestsEnded => return self.reject_received_requests().await,
+                NextMessage::RequestsEnded => return boxed(|| self.reject_received_requests()).await,
                 NextMessage::End => break,
             }
         }
@@ -227,7 +231,7 @@
                 self.reply(postgres::push_ready_for_query).await
             }
             _ if *ignores_until_sync => Ok(Flow::Continue),
-            b'Q' => self.handle_query(message).await,
+            b'Q' => boxed(|| self.handle_query(message)).await,
             b'P' | b'B' | b'D' | b'E' | b'C' | b'H' => {
                 *ignores_until_sync = true;
                 self.reply_error("0A000", "only simple queries are supported").await
@@ -289,13 +293,14 @@
     async fn wait_for_bytes(&mut self, state: IdleState, deadline: Option<Instant>) -> io::Result<Wait> {
         let is_idle = state != IdleState::PartialMessage;
         let is_ready = self.stage == Stage::Ready;
+        let demand = self.inbound.demand_for_reserved_buffers();
         Ok(tokio::select! {
             biased;
             read = self.inbound.read() => Wait::Read(read?),
             () = self.shared.idle_deadline(state, is_ready, self.accepted_at), if is_idle => Wait::Close,
             () = self.eviction.notified(), if is_idle => Wait::Close,
             () = self.shared.requests_ended(), if is_ready && !is_idle => Wait::RequestsEnded,
-            () = has_stalled(self.reservation.as_ref()), if self.reservation.is_some() => Wait::TimedOut,
+            () = has_stalled(demand.as_ref()), if demand.is_some() => Wait::TimedOut,
             () = sleep_until(deadline.unwrap_or_else(Instant::now)), if deadline.is_some() => Wait::TimedOut,
         })
     }
@@ -317,7 +322,7 @@
         let mut deadline = None;
         let mut started_at = Instant::now();
         let mut is_long = false;
-        self.reservation = None;
+        self.inbound.drop_reservation();
         loop {
             if self.shared.requests_have_ended(&mut self.inbound) {
                 return Ok(NextMessage::RequestsEnded);
@@ -335,8 +340,8 @@
                 if self.inbound.bytes().len() >= length {
                     return Ok(NextMessage::Received(self.inbound.take_message(length).await));
                 }
-                if self.inbound.bytes().len() >= buffers::BUFFER_BYTES && self.reservation.is_none() {
-                    if !self.reserve_memory(length).await {
+                if self.inbound.bytes().is_full() {
+                    if !boxed(|| self.reserve_memory(length)).await {
                         continue;
                     }
                     is_long = length > MAX_SHORT_MESSAGE_BYTES;
@@ -364,11 +369,7 @@
     }
 
     pub(super) async fn write(&self, bytes: &[u8]) -> io::Result<()> {
-        self.write_slices(&mut [IoSlice::new(bytes)]).await
-    }
-
-    pub(super) async fn write_slices(&self, slices: &mut [IoSlice<'_>]) -> io::Result<()> {
-        timeout(WRITE_TIMEOUT, write_all(&self.stream, slices)).await?
+        timeout(WRITE_TIMEOUT, write_all(&self.stream, &mut [IoSlice::new(bytes)])).await?
     }
 
     /// Writes messages and keeps the connection open.
--- a/src/net/client/final_rejections.rs
+++ b/src/net/client/final_rejections.rs
@@ -34,7 +34,7 @@
     /// once. Returns when the connection may be closed: between requests, and at the end of the drain while a
     /// message or the first request is awaited.
     pub(super) async fn reject_received_requests(&mut self) -> io::Result<()> {
-        self.reservation = None;
+        self.inbound.drop_reservation();
         let mut discarder = MessageDiscarder::default();
         let mut count = 0;
         loop {
--- a/src/net/client/inbound.rs
+++ b/src/net/client/inbound.rs
@@ -21,7 +21,7 @@
 use super::pipeline_overflow::{PipelineOverflow, SENT_TOO_FAR_AHEAD};
 use super::query_counter::QueryCounter;
 use super::rejections::Rejection;
-use crate::net::buffers::{self, BufferChain, BufferPool, ReadAheadReservation};
+use crate::net::buffers::{BufferChain, BufferPool, BufferReservation, Demand, Purpose};
 use crate::net::driver::ClientHandle;
 use crate::net::retry::retry_if_interrupted;
 use crate::net::turn::{charge, Work};
@@ -31,6 +31,8 @@
 const READ_MERGE_INTERVAL: Duration = Duration::from_millis(2);
 /// Largest number of bytes that are kept of what a client sends while a request is in flight.
 const MAX_READ_AHEAD_BYTES: usize = 256 * 1024;
+/// Number of bytes by which the buffers for what a client sends ahead grow.
+const READ_AHEAD_STEP_BYTES: usize = 4 * 1024;
 /// Time limit for reading and discarding what a client sends after the proxy has shut down writing. Without
 /// these reads, the client could lose the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -66,8 +68,6 @@
     queries: QueryCounter,
     /// Bytes in the kernel that were received while the connection was not read.
     unread: Option<UnreadBytes>,
-    /// Share of the buffer pool for `bytes` beyond the first buffer.
-    read_ahead: ReadAheadReservation,
     /// Messages behind `bytes` that were discarded; `None` while all are kept.
     overflow: Option<PipelineOverflow>,
 }
@@ -89,7 +89,6 @@
             reads: VecDeque::new(),
             queries: QueryCounter::default(),
             unread: None,
-            read_ahead: pool.read_ahead(),
             overflow: None,
         }
     }
@@ -119,6 +118,21 @@
         Ok(bytes)
     }
 
+    /// Lets the message that is being received use the buffers of a reservation.
+    pub(super) fn attach(&mut self, reservation: BufferReservation) {
+        self.bytes.attach(reservation);
+    }
+
+    /// Returns the reserved buffers that are not used yet to the pool.
+    pub(super) fn drop_reservation(&mut self) {
+        self.bytes.drop_reservation();
+    }
+
+    /// Returns the demand for buffers such as those that are reserved for this client; `None` without a reservation.
+    pub(super) fn demand_for_reserved_buffers(&self) -> Option<Demand> {
+        self.bytes.reservation().map(BufferReservation::demand)
+    }
+
     /// Returns the time that counts as the arrival of `bytes` bytes that were just read.
     fn arrival_time(&mut self, bytes: usize) -> Instant {
         let Some(unread) = self.unread.take() else { return Instant::now() };
@@ -167,7 +181,7 @@
             }
         }
         let bytes = self.bytes.split_to(count);
-        self.read_ahead.shrink_to(self.bytes.len().saturating_sub(buffers::BUFFER_BYTES));
+        self.bytes.drop_reservation();
         ReceivedMessage { bytes, received_at }
     }
 
@@ -180,16 +194,18 @@
     /// the stream.
     pub(super) async fn read_ahead(&mut self) -> io::Result<usize> {
         if self.overflow.is_none() {
-            let full_buffers_bytes = self.bytes.len() / buffers::BUFFER_BYTES * buffers::BUFFER_BYTES;
-            if full_buffers_bytes < MAX_READ_AHEAD_BYTES && self.read_ahead.try_extend_to(full_buffers_bytes)
-            {
+            let may_keep = self.bytes.len() < MAX_READ_AHEAD_BYTES;
+            let has_room = !self.bytes.is_full()
+                || may_keep && self.bytes.try_reserve(READ_AHEAD_STEP_BYTES, Purpose::ReadAhead);
+            if has_room {
                 return self.read().await;
             }
             self.begin_overflow(SENT_TOO_FAR_AHEAD);
         }
         let overflow = self.overflow.as_mut().expect("the overflow was begun above");
-        let bytes = overflow.received_mut().read_from(&self.stream).await?;
+        // Nothing is awaited between the read and the discard: this call may be cancelled while it waits.
         charge(Work::Message).await;
+        let bytes = overflow.received_mut().read_from(&self.stream).await?;
         overflow.discard_received();
         Ok(bytes)
     }
--- a/src/net/client/message_discarder.rs
+++ b/src/net/client/message_discarder.rs
@@ -37,7 +37,7 @@
             },
         };
         let count = message.remaining_bytes.min(received.len());
-        received.split_to(count);
+        received.remove_front(count);
         let remaining_bytes = message.remaining_bytes - count;
         if remaining_bytes == 0 {
             return Ok(Some(message.kind));
--- a/src/net/client/query.rs
+++ b/src/net/client/query.rs
@@ -1,22 +1,32 @@
 //! Simple queries: parsing, validation, submission to the driver, and the response to the client.
 
-use std::io::{self, IoSlice};
+use std::io;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use tokio::time::{timeout, Instant};
 
 use super::class_table::ConfiguredClass;
-use super::connection::{Connection, Flow};
+use super::connection::{boxed, Connection, Flow, WRITE_TIMEOUT};
 use super::final_rejections::SHUTTING_DOWN;
 use super::inbound::ReceivedMessage;
 use super::long_statement::AbridgedText;
 use super::request_ids::IdStatus;
 use super::service_phase::ServicePhase;
 use crate::api::{Consistency, GroupId};
+use crate::net::buffers::{write_chain, BufferReservation, Purpose};
 use crate::net::driver::{NewRequest, Repeat, Response};
 use crate::net::postgres::{self, Severity, Statement};
 use crate::net::server::{Query, QueryResult};
 
+/// Size in bytes of the state of a request whose response is being written.
+const RESPONSE_BYTES: usize = 4 * 1024;
+/// Error for a request for whose state no memory is free.
+const NO_REQUEST_MEMORY: &str = "no memory is free for another request";
+/// Size in bytes of the state of a request in flight, in this task, the engine, the driver and its attempts.
+const REQUEST_BYTES: usize = 5 * 1024;
+/// Number of copies of a statement's key and id that are kept while its request is in flight.
+const COPIES_IN_FLIGHT: usize = 3;
+
 impl Connection<'_> {
     pub(super) async fn handle_query(&mut self, message: ReceivedMessage) -> io::Result<Flow> {
         let text = AbridgedText::new(&message.bytes);
@@ -102,11 +112,15 @@
         message: ReceivedMessage,
         text: &AbridgedText,
     ) -> io::Result<Flow> {
+        let Some(mut request_memory) = self.reserve_request(&statement) else {
+            self.shared.log_memory_rejection(self.id, NO_REQUEST_MEMORY);
+            return self.fail_query("53300", NO_REQUEST_MEMORY).await;
+        };
         let timeout_range = text.message_range(&statement.timeout_range);
         let client_request_id = statement.id.clone();
         let request = self.new_request(statement, class, message.bytes.len(), message.received_at);
         self.no_request_guard = None;
-        let query = Query { message: message.bytes, timeout_range, reservation: self.reservation.take() };
+        let query = Query { message: message.bytes, timeout_range, reservation: None };
         let (request, mut response) = self.shared.driver.submit(request, query);
         let id_guard =
             self.shared.request_ids.register(client_request_id, self.id, request, self.stream.clone());
@@ -124,6 +138,7 @@
             }
         };
         drop(id_guard);
+        request_memory.shrink_to_bytes(RESPONSE_BYTES);
         match response {
             Ok(response) => self.send_response(response).await,
             // The driver dropped the request without a response, because its client had disconnected before
@@ -132,6 +147,13 @@
         }
     }
 
+    /// Reserves memory for the state of a request. Returns `None` if there is none.
+    fn reserve_request(&self, statement: &Statement) -> Option<BufferReservation> {
+        let copied_bytes = statement.key.len() + statement.id.len() + statement.class.len();
+        let bytes = REQUEST_BYTES + COPIES_IN_FLIGHT * copied_bytes;
+        self.shared.pool.try_reserve_bytes(bytes, Purpose::Request)
+    }
+
     fn new_request(
         &mut self,
         statement: Statement,
@@ -178,28 +200,27 @@
         .await
     }
 
-    /// Writes a query result. A large result is streamed as the data server sends it. If the stream fails
-    /// midway, the client connection is closed: bytes already written cannot be retracted, and the client
-    /// must not take the result for complete.
+    /// Writes a query result.
     async fn write_result(&self, mut result: QueryResult) -> io::Result<Flow> {
         let mut ready = Vec::new();
         postgres::push_ready_for_query(&mut ready);
         let is_complete = !result.has_more();
-        let mut slices: Vec<_> = result.slices().map(IoSlice::new).collect();
-        if is_complete {
-            slices.push(IoSlice::new(&ready));
-        }
-        self.write_slices(&mut slices).await?;
-        drop(slices);
+        timeout(WRITE_TIMEOUT, result.write_received(&self.stream, &ready)).await??;
         if is_complete {
             return Ok(Flow::Continue);
         }
-        result.clear();
-        while let Some(chunk) = result.next_chunk().await? {
-            let mut slices: Vec<_> = chunk.slices(0..chunk.len()).map(IoSlice::new).collect();
-            self.write_slices(&mut slices).await?;
-        }
+        boxed(|| self.stream_rest(result)).await?;
         self.write(&ready).await?;
         Ok(Flow::Continue)
     }
+
+    /// Streams the rest of a large result as the data server sends it. If the stream fails midway, the client
+    /// connection is closed: bytes already written cannot be retracted, and the client must not take the result
+    /// for complete.
+    async fn stream_rest(&self, mut result: QueryResult) -> io::Result<()> {
+        while let Some(mut chunk) = result.next_chunk().await? {
+            timeout(WRITE_TIMEOUT, write_chain(&self.stream, &mut chunk)).await??;
+        }
+        Ok(())
+    }
 }
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -57,6 +57,8 @@
     pub accept_errors: LogLimit,
     /// Log lines about connections that are closed with an error.
     connection_errors: LogLimit,
+    /// Log lines about requests that are rejected for lack of memory.
+    memory_rejections: LogLimit,
 }
 
 impl Shared {
@@ -83,6 +85,7 @@
             overflows: LogLimit::default(),
             accept_errors: LogLimit::default(),
             connection_errors: LogLimit::default(),
+            memory_rejections: LogLimit::default(),
         }
     }
 
@@ -191,6 +194,14 @@
         }
     }
 
+    /// Counts a request that is rejected for lack of memory, and logs who has the memory if a log line is due.
+    pub(super) fn log_memory_rejection(&self, id: ConnectionId, text: &str) {
+        if let Some(count) = self.memory_rejections.record() {
+            let usage = self.pool.usage();
+            log::warn!("client connection {id}: {text} ({count} requests rejected for memory): {usage}");
+        }
+    }
+
     /// Logs the requests that were rejected because they exceeded the buffers, if a line is due.
     pub(super) fn log_overflow(&self, id: ConnectionId, requests: usize) {
         if let Some(count) = self.overflows.record() {
--- a/src/net/client/startup.rs
+++ b/src/net/client/startup.rs
@@ -19,6 +19,8 @@
 const LENGTH_BYTES: usize = 4;
 /// Response to a request for encryption, which the proxy does not support.
 const ENCRYPTION_DECLINED: &[u8] = b"N";
+/// Error for a startup packet that gets no buffers in time.
+const NO_STARTUP_MEMORY: &str = "no memory is free for a startup packet of this length";
 /// Size in bytes of the shortest startup packet: the length field and the protocol version.
 const MIN_STARTUP_BYTES: usize = 8;
 
@@ -27,7 +29,7 @@
     /// `at_limit` is true.
     pub(super) async fn run_startup(&mut self, at_limit: bool) -> io::Result<Flow> {
         let timeout = if at_limit { REJECTED_STARTUP_TIMEOUT } else { MESSAGE_TIMEOUT };
-        let deadline = Some(Instant::now() + timeout);
+        let deadline = Instant::now() + timeout;
         let mut encryption_requests = 0;
         loop {
             let length =
@@ -35,12 +37,19 @@
             if length.is_some_and(|n| !(MIN_STARTUP_BYTES..=postgres::MAX_STARTUP_BYTES).contains(&n)) {
                 return self.fail_connection("08P01", "invalid length of startup packet").await;
             }
+            if let Some(length) = length.filter(|_| self.inbound.bytes().is_full()) {
+                if self.inbound.bytes().len() < length && !self.reserve_startup_memory(length, deadline).await
+                {
+                    self.shared.log_memory_rejection(self.id, NO_STARTUP_MEMORY);
+                    return self.fail_connection("53300", NO_STARTUP_MEMORY).await;
+                }
+            }
             let Some(length) = length.filter(|n| self.inbound.bytes().len() >= *n) else {
                 // A client that has sent part of its packet is slow but not idle, and must not be evicted.
                 let is_idle = self.inbound.bytes().is_empty();
                 let connections = &self.shared.connections;
                 let _idle_guard = is_idle.then(|| connections.mark_idle(IdleReason::NoRequestYet, self.id));
-                if !self.read_more(deadline).await? {
+                if !self.read_more(Some(deadline)).await? {
                     return Ok(Flow::End);
                 }
                 continue;
--- a/src/net/client/statement_memory.rs
+++ b/src/net/client/statement_memory.rs
@@ -6,7 +6,7 @@
 
 use super::connection::Connection;
 use super::pipeline_overflow::NO_MEMORY;
-use crate::net::buffers::{Arrival, BufferReservation};
+use crate::net::buffers::{Arrival, BufferReservation, Demand, Purpose};
 
 /// Longest time that a statement waits for buffers. Its time limit is at its end and not known yet; later, its
 /// rejection could come too late.
@@ -30,19 +30,43 @@
             reservation = self.memory_in_time(length) => reservation,
             () = self.shared.requests_ended() => return false,
         };
-        if reservation.is_some() {
-            self.inbound.resume_reading(began_at);
-        } else {
-            self.inbound.begin_overflow(NO_MEMORY);
+        let is_reserved = reservation.is_some();
+        match reservation {
+            Some(reservation) => {
+                self.inbound.resume_reading(began_at);
+                self.inbound.attach(reservation);
+            }
+            None => {
+                self.shared.log_memory_rejection(self.id, NO_MEMORY.text);
+                self.inbound.begin_overflow(NO_MEMORY);
+            }
         }
-        self.reservation = reservation;
-        self.reservation.is_some()
+        is_reserved
+    }
+
+    /// Reserves the buffers for a startup packet of `length` bytes, of which a part was received. Returns false if
+    /// there are none until `deadline`.
+    pub(super) async fn reserve_startup_memory(&mut self, length: usize, deadline: Instant) -> bool {
+        let missing = self.missing_buffers(length);
+        let reservation = self.shared.pool.reserve(missing, Purpose::of_message(length), Arrival::Partial);
+        let reservation = timeout_at(deadline, reservation).await.ok().flatten();
+        let is_reserved = reservation.is_some();
+        reservation.into_iter().for_each(|reservation| self.inbound.attach(reservation));
+        is_reserved
+    }
+
+    /// Returns the number of buffers that are missing for a message of `length` bytes.
+    fn missing_buffers(&self, length: usize) -> usize {
+        let received = self.inbound.bytes();
+        received.missing_buffers(length.saturating_sub(received.len()))
     }
 
     async fn memory_in_time(&self, length: usize) -> Option<BufferReservation> {
         let pool = &self.shared.pool;
+        let missing_buffers = self.missing_buffers(length);
+        let purpose = Purpose::of_message(length);
         if length >= LONG_STATEMENT_BYTES {
-            return Some(pool.reserve(length, Arrival::Partial).await);
+            return pool.reserve(missing_buffers, purpose, Arrival::Partial).await;
         }
         let deadline = Instant::now() + RESERVATION_TIMEOUT;
         let missing_bytes = length - self.inbound.bytes().len();
@@ -50,20 +74,21 @@
             let has_arrived = self.inbound.unread_bytes() >= missing_bytes;
             let arrival = if has_arrived { Arrival::Complete } else { Arrival::Partial };
             let next_check = deadline.min(Instant::now() + ARRIVAL_CHECK_INTERVAL);
-            if let Ok(reservation) = timeout_at(next_check, pool.reserve(length, arrival)).await {
-                return Some(reservation);
+            let reservation = pool.reserve(missing_buffers, purpose, arrival);
+            if let Ok(reservation) = timeout_at(next_check, reservation).await {
+                return reservation;
             }
         }
         None
     }
 }
 
-/// Waits until a message with this reservation has received nothing for [`STALL_TIMEOUT`] and another one waits
-/// for buffers.
-pub(super) async fn has_stalled(reservation: Option<&BufferReservation>) {
+/// Waits until a message with such buffers has received nothing for [`STALL_TIMEOUT`] and another one waits
+/// for them.
+pub(super) async fn has_stalled(demand: Option<&Demand>) {
     sleep(STALL_TIMEOUT).await;
-    match reservation {
-        Some(reservation) => reservation.wanted_by_others().await,
+    match demand {
+        Some(demand) => demand.wait().await,
         None => std::future::pending().await,
     }
 }
--- a/src/net/server/query_result.rs
+++ b/src/net/server/query_result.rs
@@ -13,7 +13,7 @@
 use super::reply::{Reply, REPLY_CONTINUATION_TIMEOUT};
 use super::ServerSide;
 use crate::api::ServerId;
-use crate::net::buffers::{write_all, BufferChain, BufferReservation};
+use crate::net::buffers::{write_all, write_chain, BufferChain, BufferReservation, Purpose};
 use crate::net::postgres;
 
 /// Time without a received byte after which reading the rest of a large result fails.
@@ -27,7 +27,7 @@
     pub message: BufferChain,
     /// Byte range in `message` of the digits of the statement's `d` field, the timeout in milliseconds.
     pub timeout_range: Range<usize>,
-    /// Reservation of the buffers that the message occupies; `None` if one buffer holds the message.
+    /// Reservation for the copies of parts of the message that the request keeps; `None` if they are short.
     pub reservation: Option<BufferReservation>,
 }
 
@@ -49,25 +49,19 @@
 /// sent them. Other messages, such as ParameterStatus, are left out. The result is either complete or, with a
 /// large row, the first part, whose rest [`Self::next_chunk`] reads.
 pub struct QueryResult {
+    /// Received bytes that were not written yet.
     bytes: BufferChain,
-    /// Byte ranges in `bytes` of the messages that belong to the result.
-    messages: Vec<Range<usize>>,
     /// `None` if the result is complete.
-    remaining: Option<RemainingResult>,
+    remaining: Option<Box<RemainingResult>>,
 }
 
 impl QueryResult {
-    pub(super) fn new(bytes: BufferChain, messages: Vec<Range<usize>>) -> Self {
-        Self { bytes, messages, remaining: None }
+    pub(super) fn new(bytes: BufferChain) -> Self {
+        Self { bytes, remaining: None }
     }
 
     pub(super) fn with_remaining(self, remaining: RemainingResult) -> Self {
-        Self { remaining: Some(remaining), ..self }
-    }
-
-    /// Returns the received bytes, buffer by buffer.
-    pub fn slices(&self) -> impl Iterator<Item = &[u8]> {
-        self.messages.iter().flat_map(|range| self.bytes.slices(range.clone()))
+        Self { remaining: Some(Box::new(remaining)), ..self }
     }
 
     /// Returns whether [`Self::next_chunk`] has more bytes to read.
@@ -75,11 +69,17 @@
         self.remaining.is_some()
     }
 
-    /// Discards the received bytes and returns their buffers to the pool. To be called after the bytes of
-    /// [`Self::slices`] are written.
-    pub fn clear(&mut self) {
-        self.messages.clear();
-        self.bytes.clear();
+    /// Writes the received bytes to a client, and behind them `end` if the result is complete. Returns the buffers
+    /// of written bytes to the pool.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the client's socket.
+    pub async fn write_received(&mut self, stream: &TcpStream, end: &[u8]) -> io::Result<()> {
+        if !self.has_more() {
+            self.bytes.extend(end);
+        }
+        write_chain(stream, &mut self.bytes).await
     }
 
     /// Reads the next bytes of a large result. Returns `None` at the end of the result.
@@ -92,7 +92,7 @@
         let Some(remaining) = &mut self.remaining else { return Ok(None) };
         let chunk = remaining.next_chunk().await?;
         if chunk.is_none() {
-            self.remaining.take().into_iter().for_each(RemainingResult::finish_in_background);
+            self.remaining.take().into_iter().for_each(|remaining| remaining.finish_in_background());
         }
         Ok(chunk)
     }
@@ -146,11 +146,15 @@
             }
             let stream = &self.connection.stream;
             let bytes = self.reply.bytes_mut();
+            // Without further buffers the chunk is one buffer long.
+            let chunk_bytes = self.remaining_row_bytes.min(LARGE_RESULT_CHUNK_BYTES);
+            bytes.try_reserve(chunk_bytes, Purpose::Answer);
             if timeout(LARGE_RESULT_READ_TIMEOUT, bytes.read_from(stream)).await?? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
             if self.remaining_row_bytes > 0 {
                 while bytes.len() < LARGE_RESULT_CHUNK_BYTES
+                    && !bytes.is_full()
                     && bytes.try_read_from(stream).is_ok_and(|n| n > 0)
                 {}
                 let chunk = bytes.split_to(bytes.len().min(self.remaining_row_bytes));
--- a/src/net/server/reply.rs
+++ b/src/net/server/reply.rs
@@ -3,6 +3,9 @@
 //! A reply that violates the protocol is rejected as a whole, since it may be part of another reply or
 //! arbitrary bytes. Only the messages of the result are kept. All others, such as notices, are discarded once
 //! they are processed, and a reply may not consist of them without end.
+//!
+//! A message that needs more than one buffer is received in buffers that are reserved for it. A row that gets none is
+//! passed on as it arrives, like a large one.
 
 use std::io;
 use std::ops::Range;
@@ -15,7 +18,7 @@
 use super::position_clock::PositionClock;
 use super::query_result::QueryResult;
 use crate::api::{LoadReport, Outcome, ServerStatus};
-use crate::net::buffers::{BufferChain, BufferPool};
+use crate::net::buffers::{BufferChain, BufferPool, Purpose};
 use crate::net::driver::AttemptResult;
 use crate::net::postgres::{self, MessageHeader};
 use crate::net::turn::{charge, Work};
@@ -62,16 +65,16 @@
 /// A reply that is complete or being received.
 pub(super) struct Reply {
     expected: ExpectedReply,
-    /// Received bytes.
+    /// Messages of the query result, and behind them the received bytes that are not yet processed.
     bytes: BufferChain,
-    /// Offset in `bytes` of the first message that is not yet processed.
-    next_message_at: usize,
-    /// Messages of the query result.
-    result: BufferChain,
-    /// Byte ranges in `result` of the messages of the query result.
+    /// Length of the messages of the query result in `bytes`.
+    result_bytes: usize,
+    /// Byte ranges in `bytes` of the messages of the query result.
     result_messages: Vec<Range<usize>>,
     /// Number of bytes that were processed and not kept.
     discarded_bytes: usize,
+    /// Bytes of a notice that are still to be received and discarded.
+    remaining_notice_bytes: usize,
     /// Body of the message that is being processed.
     scratch: Vec<u8>,
     /// Whether ReadyForQuery was received.
@@ -107,6 +110,9 @@
         if is_ready || reply.remaining_row_bytes.is_some() {
             return Ok(reply);
         }
+        if !reply.reserve_next_message()? {
+            return Ok(reply);
+        }
         let has_begun = reply.has_begun();
         let read = reply.bytes.read_from(stream);
         let count = if has_begun {
@@ -128,10 +134,10 @@
         Self {
             expected,
             bytes: buffers.chain(),
-            next_message_at: 0,
-            result: buffers.chain(),
+            result_bytes: 0,
             result_messages: Vec::new(),
             discarded_bytes: 0,
+            remaining_notice_bytes: 0,
             scratch: Vec::new(),
             is_ready: false,
             remaining_row_bytes: None,
@@ -152,50 +158,77 @@
 
     /// Returns whether any byte of the reply was received.
     fn has_begun(&self) -> bool {
-        !self.bytes.is_empty() || !self.result.is_empty() || self.discarded_bytes > 0
+        !self.bytes.is_empty() || self.discarded_bytes > 0
     }
 
     /// Processes the messages that are received completely. Returns whether the last one was ReadyForQuery.
     pub(super) async fn process_messages(&mut self) -> io::Result<bool> {
-        while let Some(bytes) = self.bytes.array::<HEADER_BYTES>(self.next_message_at) {
-            let header = postgres::parse_header(bytes).ok_or(io::ErrorKind::InvalidData)?;
-            if !postgres::is_plausible_length(header) || header.length > postgres::MAX_RESPONSE_BYTES {
-                return Err(io::ErrorKind::InvalidData.into());
-            }
-            let start = self.next_message_at;
+        self.discard_notice_bytes();
+        while let Some(header) = self.next_header()? {
+            let start = self.result_bytes;
             let end = start + header.length;
             if end > self.bytes.len() {
+                self.begin_notice(header)?;
                 self.check_large_row(header)?;
                 break;
             }
             charge(Work::Message).await;
-            self.next_message_at = end;
-            self.bytes.copy(start + HEADER_BYTES..end, &mut self.scratch);
-            self.process_message(header.kind).ok_or(io::ErrorKind::InvalidData)?;
+            self.copy_body(header.kind, start + HEADER_BYTES..end);
+            self.process_message(header).ok_or(io::ErrorKind::InvalidData)?;
             self.keep_or_discard(header, start..end)?;
             if self.is_ready {
                 return Ok(true);
             }
         }
-        self.remove_processed();
         Ok(false)
     }
 
-    /// Removes the processed messages from the received bytes.
-    fn remove_processed(&mut self) {
-        if self.next_message_at > 0 {
-            self.bytes.split_to(self.next_message_at);
-            self.next_message_at = 0;
+    /// Parses the header of the next message. Returns `None` if it is not received completely.
+    fn next_header(&self) -> io::Result<Option<MessageHeader>> {
+        let Some(bytes) = self.bytes.array::<HEADER_BYTES>(self.result_bytes) else { return Ok(None) };
+        let header = postgres::parse_header(bytes).filter(|header| postgres::is_plausible_length(*header));
+        header.map(Some).ok_or(io::ErrorKind::InvalidData.into())
+    }
+
+    /// Reserves the buffers for the next message if it needs any. Returns false if there are none for a row, which
+    /// is then passed on as it arrives.
+    fn reserve_next_message(&mut self) -> io::Result<bool> {
+        if !self.bytes.is_full() {
+            return Ok(true);
+        }
+        let header = self.next_header()?;
+        let received = self.bytes.len() - self.result_bytes;
+        let missing = header.map_or(HEADER_BYTES, |header| header.length) - received;
+        if self.bytes.try_reserve(missing, Purpose::Answer) {
+            return Ok(true);
         }
+        let Some(header) = header.filter(|header| header.kind == b'D') else {
+            return Err(io::ErrorKind::OutOfMemory.into());
+        };
+        self.begin_large_row(header)?;
+        Ok(false)
+    }
+
+    /// Copies the body of a message to the scratch buffer, unless it is not looked at.
+    fn copy_body(&mut self, kind: u8, body: Range<usize>) {
+        let is_ignored = matches!(kind, b'D' | b'N');
+        self.bytes.copy(if is_ignored { body.start..body.start } else { body }, &mut self.scratch);
     }
 
-    /// Adds a processed message, which is at `range` of the received bytes, to the result if it belongs there.
+    /// Keeps a processed message, which is at `range` of the received bytes, if it belongs to the result. Otherwise
+    /// removes it.
     fn keep_or_discard(&mut self, header: MessageHeader, range: Range<usize>) -> io::Result<()> {
         if is_result_message(header.kind) {
-            self.keep(range);
+            self.result_bytes = range.end;
+            self.result_messages.push(range);
             return Ok(());
         }
-        self.discarded_bytes += header.length;
+        self.bytes.remove(range);
+        self.count_discarded(header.length)
+    }
+
+    fn count_discarded(&mut self, bytes: usize) -> io::Result<()> {
+        self.discarded_bytes += bytes;
         if self.discarded_bytes > MAX_DISCARDED_BYTES {
             let error = EndlessReply { discarded_bytes: self.discarded_bytes };
             return Err(io::Error::new(io::ErrorKind::InvalidData, error));
@@ -203,11 +236,20 @@
         Ok(())
     }
 
-    /// Adds a message, or the received part of one, to the result.
-    fn keep(&mut self, range: Range<usize>) {
-        let start = self.result.len();
-        self.bytes.slices(range).for_each(|slice| self.result.extend(slice));
-        self.result_messages.push(start..self.result.len());
+    /// Begins to discard a notice of which a part is received.
+    fn begin_notice(&mut self, header: MessageHeader) -> io::Result<()> {
+        if header.kind == b'N' {
+            self.count_discarded(header.length)?;
+            self.remaining_notice_bytes = header.length;
+            self.discard_notice_bytes();
+        }
+        Ok(())
+    }
+
+    fn discard_notice_bytes(&mut self) {
+        let count = self.remaining_notice_bytes.min(self.bytes.len() - self.result_bytes);
+        self.bytes.remove(self.result_bytes..self.result_bytes + count);
+        self.remaining_notice_bytes -= count;
     }
 
     /// Validates the start of a large row. The row can then be passed on in chunks, without buffering all of
@@ -216,30 +258,43 @@
         let is_large_row = self.expected == ExpectedReply::QueryResult
             && header.kind == b'D'
             && header.length > MAX_BUFFERED_ROW_BYTES;
-        let row_start = self.bytes.array::<6>(self.next_message_at + HEADER_BYTES).filter(|_| is_large_row);
-        let Some(row_start) = row_start else { return Ok(()) };
-        let [0, 1, column_length @ ..] = row_start else {
-            return Err(io::ErrorKind::InvalidData.into());
-        };
-        let column_length = u32::from_be_bytes(column_length) as usize;
-        let is_valid = column_length + ROW_OVERHEAD_BYTES == header.length;
+        if is_large_row && self.row_start().is_some() {
+            self.begin_large_row(header)?;
+        }
+        Ok(())
+    }
+
+    /// Returns the column count and the column length of the row that is being received.
+    fn row_start(&self) -> Option<[u8; 6]> {
+        self.bytes.array(self.result_bytes + HEADER_BYTES)
+    }
+
+    /// Validates the start of a row that is passed on in chunks, and keeps the received part of it.
+    fn begin_large_row(&mut self, header: MessageHeader) -> io::Result<()> {
+        let is_valid = self.is_valid_row_start(header);
         if !is_valid || self.result_messages.len() != 1 || self.sqlstate.is_some() {
             return Err(io::ErrorKind::InvalidData.into());
         }
-        let received = self.next_message_at..self.bytes.len();
+        let received = self.result_bytes..self.bytes.len();
         self.remaining_row_bytes = Some(header.length - received.len());
-        self.next_message_at = received.end;
-        self.keep(received);
+        self.result_bytes = received.end;
+        self.result_messages.push(received);
         Ok(())
     }
 
+    /// Returns whether a row has one column, which fills the row.
+    fn is_valid_row_start(&self, header: MessageHeader) -> bool {
+        let Some([0, 1, column_length @ ..]) = self.row_start() else { return false };
+        u32::from_be_bytes(column_length) as usize + ROW_OVERHEAD_BYTES == header.length
+    }
+
     /// Processes a message whose body is in `scratch`. Returns `None` if the protocol does not allow the
     /// message here.
-    fn process_message(&mut self, kind: u8) -> Option<()> {
+    fn process_message(&mut self, header: MessageHeader) -> Option<()> {
         let expects_result = self.expected == ExpectedReply::QueryResult;
         let has_no_error = self.sqlstate.is_none();
         let body = &self.scratch[..];
-        let is_valid = match (kind, self.result_messages.len()) {
+        let is_valid = match (header.kind, self.result_messages.len()) {
             (b'S', _) => return self.process_parameter(),
             (b'E', 0..RESULT_MESSAGES) => return self.process_error(),
             (b'Z', _) => return self.process_ready(),
@@ -251,7 +306,7 @@
             (b'N', _) => true,
             (b'K', _) => !expects_result && has_no_error && self.is_authenticated,
             (b'T', 0) => expects_result && has_no_error && postgres::is_single_column_description(body),
-            (b'D', 1) => has_no_error && postgres::parse_single_column(body).is_some(),
+            (b'D', 1) => has_no_error && self.is_valid_row_start(header),
             (b'C', 2) => has_no_error && postgres::is_command_tag(body),
             _ => false,
         };
@@ -315,7 +370,7 @@
     /// Returns the CommandComplete message, buffer by buffer; `None` until it is received.
     pub(super) fn command_complete(&self) -> Option<impl Iterator<Item = &[u8]>> {
         let range = self.result_messages.get(RESULT_MESSAGES - 1)?;
-        Some(self.result.slices(range.clone()))
+        Some(self.bytes.slices(range.clone()))
     }
 
     /// Returns whether the reply contains a complete query result and no error.
@@ -326,12 +381,14 @@
     /// Returns whether the connection can be reused: ReadyForQuery was received and no byte follows it.
     /// Left-over bytes would become the start of the next reply.
     pub(super) fn is_connection_reusable(&self) -> bool {
-        self.is_ready && self.bytes.len() == self.next_message_at
+        self.is_ready && self.bytes.len() == self.result_bytes
     }
 
     /// Returns the query result: all of it, or the received part of a large one.
-    pub(super) fn into_query_result(self) -> QueryResult {
-        QueryResult::new(self.result, self.result_messages)
+    pub(super) fn into_query_result(mut self) -> QueryResult {
+        self.bytes.truncate(self.result_bytes);
+        self.bytes.drop_reservation();
+        QueryResult::new(self.bytes)
     }
 
     /// Returns the attempt's result.
@@ -364,7 +421,7 @@
     pub(super) fn health_check_load_report(&self, clock: &PositionClock) -> Option<LoadReport> {
         let mut row = Vec::new();
         let range = self.result_messages.get(1)?;
-        self.result.copy(range.start + HEADER_BYTES..range.end, &mut row);
+        self.bytes.copy(range.start + HEADER_BYTES..range.end, &mut row);
         let text = std::str::from_utf8(postgres::parse_single_column(&row)?).ok()?;
         text.contains('=').then(|| load_report::parse(text, clock))
     }
