Bound the records of when bytes arrived, and drop those of discarded bytes

A client that writes a byte every few milliseconds left a record of 24 bytes for each read: 48 KB for a statement that takes 2.5 s, outside all limits, 40 MB for a crowd. While all bytes belong to one incomplete message one record suffices, since only the last byte counts; otherwise 32 records, of which the two closest in time are merged, with the earlier time, so that no request gets more time than its client has left. Records of bytes that were discarded stayed behind: a later request could count as received 16 s ago and was rejected (seen in tests/client_close.rs, each_request_that_is_sent_far_ahead..., with a smaller buffer; 'after 0 of 0 ms').

--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -348,6 +348,7 @@
                     started_at = Instant::now();
                 }
             }
+            self.inbound.join_reads();
             let is_between_messages = self.inbound.bytes().is_empty();
             let _idle_guard =
                 is_between_messages.then(|| self.shared.connections.mark_idle(self.idle_reason(), self.id));
--- a/src/net/client/inbound.rs
+++ b/src/net/client/inbound.rs
@@ -33,6 +33,8 @@
 const MAX_READ_AHEAD_BYTES: usize = 256 * 1024;
 /// Number of bytes by which the buffers for what a client sends ahead grow.
 const READ_AHEAD_STEP_BYTES: usize = 4 * 1024;
+/// Largest number of records of reads. Beyond it, two that are close to each other in time become one.
+const MAX_READ_RECORDS: usize = 32;
 /// Time limit for reading and discarding what a client sends after the proxy has shut down writing. Without
 /// these reads, the client could lose the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -115,9 +117,43 @@
             Some(last) => last.bytes += bytes,
             None => self.reads.push_back(ReadRecord { bytes, read_at }),
         }
+        if self.reads.len() > MAX_READ_RECORDS {
+            self.merge_closest_reads();
+        }
         Ok(bytes)
     }
 
+    /// Merges the two neighbouring records with the least time between them. The earlier time counts, so that no
+    /// request gets more time than its client has left.
+    fn merge_closest_reads(&mut self) {
+        let gap = |index: &usize| self.reads[index + 1].read_at.duration_since(self.reads[*index].read_at);
+        let closest = (0..self.reads.len() - 1).min_by_key(gap);
+        if let Some(later) = closest.and_then(|index| self.reads.remove(index + 1)) {
+            self.reads[closest.unwrap_or_default()].bytes += later.bytes;
+        }
+    }
+
+    /// Removes the records of the last `bytes` bytes that were read.
+    fn forget_latest_reads(&mut self, bytes: usize) {
+        let mut remaining = bytes;
+        while let Some(last) = self.reads.back_mut().filter(|_| remaining > 0) {
+            let removed = remaining.min(last.bytes);
+            remaining -= removed;
+            last.bytes -= removed;
+            if last.bytes == 0 {
+                self.reads.pop_back();
+            }
+        }
+    }
+
+    /// Merges the records of all reads. To be called while all received bytes belong to one message that is not
+    /// complete: only its last byte counts.
+    pub(super) fn join_reads(&mut self) {
+        let Some(mut joined) = self.reads.pop_back() else { return };
+        joined.bytes += self.reads.drain(..).map(|read| read.bytes).sum::<usize>();
+        self.reads.push_back(joined);
+    }
+
     /// Lets the message that is being received use the buffers of a reservation.
     pub(super) fn attach(&mut self, reservation: BufferReservation) {
         self.bytes.attach(reservation);
@@ -216,6 +252,7 @@
         let kept = self.queries.counted_bytes();
         let mut rest = self.bytes.split_to(kept);
         std::mem::swap(&mut rest, &mut self.bytes);
+        self.forget_latest_reads(rest.len());
         self.overflow = Some(PipelineOverflow::new(rest, rejection));
     }
 
