Reserve the memory for many runs of messages that were sent too far ahead

A client that sends messages of two kinds in turn behind a request left a run of 16 bytes for each, up to 16 KB a connection that no limit counted, 14 MB for a crowd. A run has 8 bytes now, and more than 64 of them are charged to what is read ahead; without memory the connection ends behind what is remembered, as it did after 1,024 runs.

--- a/src/net/client/pipeline_overflow.rs
+++ b/src/net/client/pipeline_overflow.rs
@@ -14,11 +14,13 @@
 use super::connection::{Connection, Flow, MESSAGE_TIMEOUT};
 use super::message_discarder::{InvalidLength, MessageDiscarder};
 use super::rejections::{Rejection, Rejections};
-use crate::net::buffers::BufferChain;
+use crate::net::buffers::{BufferChain, BufferReservation, Purpose};
 
 /// Largest number of runs of messages of one kind. The connection of a client that sends more ahead ends behind
 /// them.
 const MAX_RUNS: usize = 1024;
+/// Number of runs from which the memory for further ones is reserved.
+const MAX_UNRESERVED_RUNS: usize = 64;
 /// Largest number of messages that are answered in one write.
 const MAX_MESSAGES_PER_WRITE: usize = 16;
 /// Error for requests that were sent too far ahead.
@@ -31,7 +33,7 @@
 /// Messages of one kind that follow each other.
 struct Run {
     kind: u8,
-    count: usize,
+    count: u32,
 }
 
 /// Discarded messages of a connection, in the order in which they arrived.
@@ -42,6 +44,8 @@
     received: BufferChain,
     discarder: MessageDiscarder,
     runs: VecDeque<Run>,
+    /// Reservation for more than [`MAX_UNRESERVED_RUNS`] runs.
+    runs_reservation: Option<BufferReservation>,
     /// Whether no further message can be remembered or parsed, so that the connection ends behind the others.
     is_broken: bool,
 }
@@ -54,6 +58,7 @@
             received,
             discarder: MessageDiscarder::default(),
             runs: VecDeque::new(),
+            runs_reservation: None,
             is_broken: false,
         };
         overflow.discard_received();
@@ -107,14 +112,24 @@
     }
 
     fn remember(&mut self, kind: u8) {
-        if let Some(run) = self.runs.back_mut().filter(|run| run.kind == kind) {
+        if let Some(run) = self.runs.back_mut().filter(|run| run.kind == kind && run.count < u32::MAX) {
             run.count += 1;
-        } else if self.runs.len() < MAX_RUNS {
+        } else if self.runs.len() < MAX_RUNS && self.has_memory_for_run() {
             self.runs.push_back(Run { kind, count: 1 });
         } else {
             self.is_broken = true;
         }
     }
+
+    /// Returns whether another run can be remembered. Reserves the memory for all further ones.
+    fn has_memory_for_run(&mut self) -> bool {
+        if self.runs.len() >= MAX_UNRESERVED_RUNS && self.runs_reservation.is_none() {
+            let bytes = MAX_RUNS * size_of::<Run>();
+            self.runs_reservation = self.received.pool().try_reserve_bytes(bytes, Purpose::ReadAhead);
+            return self.runs_reservation.is_some();
+        }
+        true
+    }
 }
 
 impl Connection<'_> {
