Bound the contiguous copy of a statement that is parsed

A statement that is no hex value was copied whole to one scratch buffer, which kept its size: 8 MB for one statement of a client, outside the pool and for good. All but the digits of a value must fit into 128 KiB now (42601 otherwise), and the buffer shrinks to 16 KiB.

--- a/src/net/client/long_statement.rs
+++ b/src/net/client/long_statement.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Returns the length of the text that is to be parsed.
+    pub(super) fn len(&self, message: &BufferChain) -> usize {
+        message.len().saturating_sub(TEXT_OFFSET + self.omitted.len())
+    }
+
     /// Converts a range of the copied text to a range of the message.
     pub(super) fn message_range(&self, text_range: &Range<usize>) -> Range<usize> {
         self.message_offset(text_range.start)..self.message_offset(text_range.end)
--- a/src/net/client/query.rs
+++ b/src/net/client/query.rs
@@ -22,6 +22,10 @@
 const RESPONSE_BYTES: usize = 4 * 1024;
 /// Error for a request for whose state no memory is free.
 const NO_REQUEST_MEMORY: &str = "no memory is free for another request";
+/// Largest number of bytes of a statement that are parsed: all but the hex digits in the middle of a value.
+const MAX_PARSED_BYTES: usize = 128 * 1024;
+/// Size in bytes of the copy of a statement that is kept from one statement to the next.
+const MAX_IDLE_SCRATCH_BYTES: usize = 16 * 1024;
 /// Size in bytes of the state of a request in flight, in this task, the engine, the driver and its attempts.
 const REQUEST_BYTES: usize = 5 * 1024;
 /// Number of copies of a statement's key and id that are kept while its request is in flight.
@@ -30,11 +34,17 @@
 impl Connection<'_> {
     pub(super) async fn handle_query(&mut self, message: ReceivedMessage) -> io::Result<Flow> {
         let text = AbridgedText::new(&message.bytes);
+        if text.len(&message.bytes) > MAX_PARSED_BYTES {
+            return self.fail_query("42601", "the statement is too long around its value").await;
+        }
         let parsed = {
             let mut scratch = self.shared.scratch.borrow_mut();
             text.copy(&message.bytes, &mut scratch);
             let terminated = scratch.split_last().filter(|(last, _)| **last == 0);
-            terminated.map(|(_, text)| postgres::parse_query(text))
+            let parsed = terminated.map(|(_, text)| postgres::parse_query(text));
+            scratch.clear();
+            scratch.shrink_to(MAX_IDLE_SCRATCH_BYTES);
+            parsed
         };
         let Some(parsed) = parsed else {
             return self.fail_connection("08P01", "invalid string in message").await;
