--- a/src/net/buffers/mod.rs
+++ b/src/net/buffers/mod.rs
@@ -6,10 +6,12 @@
 
 mod arena;
 mod chain;
+mod discard;
 mod pool;
 mod write;
 
 pub use arena::BUFFER_BYTES;
 pub use chain::BufferChain;
+pub use discard::discard_from;
 pub use pool::{Arrival, BufferPool, BufferReservation, Demand, PoolUsage, Purpose};
 pub use write::{write_all, write_chain};
--- a/src/net/buffers/pool.rs
+++ b/src/net/buffers/pool.rs
@@ -12,6 +12,7 @@
 
 use super::arena::{Arena, Buffer, BUFFER_BYTES};
 use super::chain::BufferChain;
+use super::discard::MAX_DISCARDED_BYTES;
 
 /// Size of a buffer with the entries for it in the lists of its chain and of its segment, in bytes.
 const BUFFER_COST_BYTES: usize = BUFFER_BYTES + 128;
@@ -89,6 +90,8 @@
 
 struct Shared {
     arena: RefCell<Arena>,
+    /// Target of reads whose bytes are discarded. The kernel writes nothing to it.
+    discard_buffer: RefCell<Vec<u8>>,
     accounts: [Account; Purpose::ALL.len()],
     /// Number of buffers that may be reserved.
     max_buffers: usize,
@@ -260,6 +263,7 @@
     pub fn new(max_bytes: usize) -> Self {
         Self(Rc::new(Shared {
             arena: RefCell::default(),
+            discard_buffer: RefCell::new(vec![0; MAX_DISCARDED_BYTES]),
             accounts: Default::default(),
             max_buffers: max_bytes / BUFFER_COST_BYTES,
             share: Cell::new(1.0),
@@ -359,6 +363,10 @@
         }
     }
 
+    pub(super) fn discard_buffer(&self) -> &RefCell<Vec<u8>> {
+        &self.0.discard_buffer
+    }
+
     fn charge(&self, purpose: Purpose, buffers: usize) {
         let reserved = &self.account(purpose).reserved_buffers;
         reserved.set(reserved.get() + buffers);
--- a/src/net/client/inbound.rs
+++ b/src/net/client/inbound.rs
@@ -21,7 +21,7 @@
 use super::pipeline_overflow::{PipelineOverflow, SENT_TOO_FAR_AHEAD};
 use super::query_counter::QueryCounter;
 use super::rejections::Rejection;
-use crate::net::buffers::{BufferChain, BufferPool, BufferReservation, Demand, Purpose};
+use crate::net::buffers::{self, BufferChain, BufferPool, BufferReservation, Demand, Purpose};
 use crate::net::driver::ClientHandle;
 use crate::net::retry::retry_if_interrupted;
 use crate::net::turn::{charge, Work};
@@ -239,6 +239,13 @@
             self.begin_overflow(SENT_TOO_FAR_AHEAD);
         }
         let overflow = self.overflow.as_mut().expect("the overflow was begun above");
+        let discardable = overflow.discardable_bytes();
+        if discardable > buffers::BUFFER_BYTES {
+            let bytes =
+                buffers::discard_from(&self.stream, discardable, overflow.received_mut().pool()).await?;
+            overflow.skip(bytes);
+            return Ok(bytes);
+        }
         // Nothing is awaited between the read and the discard: this call may be cancelled while it waits.
         charge(Work::Message).await;
         let bytes = overflow.received_mut().read_from(&self.stream).await?;
@@ -286,10 +293,10 @@
     }
 
     async fn discard_input(&mut self) {
+        self.bytes.clear();
         let mut remaining = MAX_LINGER_BYTES;
         while remaining > 0 {
-            self.bytes.clear();
-            match self.bytes.read_from(&self.stream).await {
+            match buffers::discard_from(&self.stream, remaining, self.bytes.pool()).await {
                 Ok(read) if read > 0 => remaining = remaining.saturating_sub(read),
                 _ => return,
             }
--- a/src/net/client/message_discarder.rs
+++ b/src/net/client/message_discarder.rs
@@ -26,6 +26,18 @@
         self.current.is_some()
     }
 
+    /// Returns the number of bytes that follow of the message of which a part is discarded.
+    pub(super) fn remaining_bytes(&self) -> usize {
+        self.current.as_ref().map_or(0, |message| message.remaining_bytes)
+    }
+
+    /// Records that bytes of the message of which a part is discarded were discarded elsewhere.
+    pub(super) fn skip(&mut self, bytes: usize) {
+        if let Some(message) = &mut self.current {
+            message.remaining_bytes = message.remaining_bytes.saturating_sub(bytes);
+        }
+    }
+
     /// Discards received bytes up to the end of a message. Returns the kind of that message; `None` if its end
     /// has not been received.
     pub(super) fn next_kind(&mut self, received: &mut BufferChain) -> Result<Option<u8>, InvalidLength> {
--- a/src/net/client/pipeline_overflow.rs
+++ b/src/net/client/pipeline_overflow.rs
@@ -70,6 +70,21 @@
         &mut self.received
     }
 
+    /// Returns the number of bytes that can be discarded without a look at them.
+    pub(super) fn discardable_bytes(&self) -> usize {
+        if self.is_broken {
+            usize::MAX
+        } else {
+            // The last byte is received, so that the end of the message is seen.
+            self.discarder.remaining_bytes().saturating_sub(1)
+        }
+    }
+
+    /// Records that so many bytes were discarded.
+    pub(super) fn skip(&mut self, bytes: usize) {
+        self.discarder.skip(bytes);
+    }
+
     /// Discards the received messages and remembers their kinds.
     pub(super) fn discard_received(&mut self) {
         while !self.is_broken {
