Share the resources of a hot restart from the start of the takeover

A successor took half of the buffers and sockets only once it had the client limit of its predecessor; if that did not come in 1 s, both used all. Both count jointly, so the successor takes its half first, until the connection to the predecessor closes.

--- a/src/net/hot_restart/takeover.rs
+++ b/src/net/hot_restart/takeover.rs
@@ -144,15 +144,14 @@
     }
 
     /// Restores the predecessor's state, has the predecessor stop accepting clients, and sets the client
-    /// limit of this process. The caller may accept clients after this returns.
+    /// limit of this process. The caller may accept clients after this returns. From the start of this call until
+    /// the connection to the predecessor closes, the two processes share their resources.
     pub async fn take_over(&mut self, resources: &SharedResources) {
+        resources.share_with_peer();
         self.restore_state(resources);
         let client_limit = timeout(STOP_ACCEPTING_TIMEOUT, self.receive_client_limit()).await;
         match client_limit.unwrap_or_else(|elapsed| Err(elapsed.into())) {
-            Ok(limit) => {
-                resources.clients.set_limit(Some(limit));
-                resources.share_with_peer();
-            }
+            Ok(limit) => resources.clients.set_limit(Some(limit)),
             Err(e) => log::warn!("receiving the client limit from the predecessor failed: {e}"),
         }
     }
