Divide the memory limit among all that a process keeps, also for two processes

0.7 of the limit went to the buffers, and the program, each client's state and the tables of ids and tokens (3 MiB at any limit) were counted nowhere: at 16 MB they alone passed it. src/memory_budget.rs divides 90 % of the limit: the process, a second one of a hot restart, twice the state of each client, the tables, and the rest for buffers.

--- a/core/src/deduplication.rs
+++ b/core/src/deduplication.rs
@@ -19,7 +19,7 @@
 const RETENTION: Duration = Duration::from_secs(60);
 /// Largest number of ids.
 const MAX_IDS: usize = 16 * 1024;
-/// Upper bound of the size of all ids, in bytes.
+/// Upper bound of the size of all ids, in bytes, unless a lower one is set.
 const MAX_BYTES: usize = 1 << 20;
 /// Assumed size of an entry without its id, in bytes.
 const ENTRY_BYTES: usize = 96;
@@ -77,16 +77,34 @@
 }
 
 /// Ids of requests that may have been executed.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct DeduplicationTable {
     entries: HashMap<String, Entry>,
     /// Stored ids in the order of their last attempts.
     order: BTreeMap<u64, String>,
     next_place: u64,
     bytes: usize,
+    max_bytes: usize,
+}
+
+impl Default for DeduplicationTable {
+    fn default() -> Self {
+        Self {
+            entries: HashMap::new(),
+            order: BTreeMap::new(),
+            next_place: 0,
+            bytes: 0,
+            max_bytes: MAX_BYTES,
+        }
+    }
 }
 
 impl DeduplicationTable {
+    /// Limits the size of all ids to `max_bytes`, if that is less than the limit so far.
+    pub fn limit_bytes(&mut self, max_bytes: usize) {
+        self.max_bytes = self.max_bytes.min(max_bytes);
+    }
+
     /// Returns whether a new request may be executed under its id.
     pub fn permission(&self, key: RequestKey<'_>, now: Duration) -> RepeatPermission {
         match self.entries.get(&*stored_id(key.client_request_id)) {
@@ -137,7 +155,7 @@
         while let Some((_, oldest)) = self.order.first_key_value() {
             let is_expired =
                 self.entries.get(oldest).is_none_or(|entry| now >= entry.last_sent_at + RETENTION);
-            if !is_expired && self.order.len() <= MAX_IDS && self.bytes <= MAX_BYTES {
+            if !is_expired && self.order.len() <= MAX_IDS && self.bytes <= self.max_bytes {
                 return;
             }
             let oldest = oldest.clone();
--- a/core/src/routing/mod.rs
+++ b/core/src/routing/mod.rs
@@ -132,6 +132,11 @@
         })
     }
 
+    /// Limits the size of the session tokens, in bytes.
+    pub fn limit_session_tokens(&mut self, max_bytes: usize) {
+        self.sessions.limit_bytes(max_bytes);
+    }
+
     /// Processes a batch of events, makes all decisions that are due, and appends the resulting actions to
     /// `out`. `now` is the time of the events and of the decisions on the caller's clock.
     pub fn step(&mut self, now: Duration, events: impl IntoIterator<Item = Event>, out: &mut Vec<Action>) {
--- a/core/src/session_tokens.rs
+++ b/core/src/session_tokens.rs
@@ -18,17 +18,18 @@
 use std::collections::btree_map::Entry;
 use std::collections::BTreeMap;
 
-/// Upper bound of the size of all tokens, in bytes.
+/// Upper bound of the size of all tokens, in bytes, unless a lower one is set.
 const MAX_BYTES: usize = 2 << 20;
 /// Assumed size of a token without the name of its session, in bytes.
 const TOKEN_BYTES: usize = 64;
 
 /// Session tokens and the session floor.
-#[derive(Debug, Clone, Default, PartialEq)]
+#[derive(Debug, Clone, PartialEq)]
 pub(crate) struct SessionTokenStore {
     /// Commit position of the last write of each session.
     tokens: BTreeMap<String, f64>,
     bytes: usize,
+    max_bytes: usize,
     /// Time at which this process began to serve; 0 after the floor of another process was restored. `None`
     /// before the process serves.
     started_at: Option<f64>,
@@ -44,7 +45,32 @@
     pub tokens: Tokens,
 }
 
+impl Default for SessionTokenStore {
+    fn default() -> Self {
+        Self {
+            tokens: BTreeMap::new(),
+            bytes: 0,
+            max_bytes: MAX_BYTES,
+            started_at: None,
+            floor: 0.0,
+            is_peer_unreachable: false,
+        }
+    }
+}
+
 impl SessionTokenStore {
+    /// Limits the size of all tokens to `max_bytes`, if that is less than the limit so far.
+    pub fn limit_bytes(&mut self, max_bytes: usize) {
+        self.max_bytes = self.max_bytes.min(max_bytes);
+        self.enforce_limit();
+    }
+
+    fn enforce_limit(&mut self) {
+        if self.bytes > self.max_bytes {
+            self.evict_older_half();
+        }
+    }
+
     /// Records that the process begins to serve. Later calls have no effect.
     pub fn start(&mut self, now: f64) {
         self.started_at.get_or_insert(now);
@@ -67,9 +93,7 @@
                 self.bytes += bytes;
             }
         }
-        if self.bytes > MAX_BYTES {
-            self.evict_older_half();
-        }
+        self.enforce_limit();
     }
 
     /// Returns the position that a server must have applied to serve a read that arrived at `now`. `session`
--- a/src/bootstrap.rs
+++ b/src/bootstrap.rs
@@ -36,6 +36,7 @@
 use crate::config_files::LoadError;
 use crate::listeners::{ListenError, Listeners, StateFiles};
 use crate::logger;
+use crate::memory_budget::{self, MemoryBudget};
 use crate::reload::Reloader;
 use crate::signals::{SignalRequest, Signals};
 use crate::socket_budget::{SocketBudget, SocketBudgetError};
@@ -43,9 +44,6 @@
 /// Longest time after the process start to wait for an update from discovery. After it, the process reports
 /// ready or takes over from its predecessor with the endpoint list that it has.
 const MAX_DISCOVERY_WAIT: Duration = Duration::from_millis(4500);
-/// Share of the memory limit that buffers may use. The rest is for the program and its state.
-const BUFFER_SHARE: f64 = 0.7;
-const BYTES_PER_MEGABYTE: f64 = 1e6;
 
 /// Reason why a proxy process could not start.
 #[derive(Debug, thiserror::Error)]
@@ -127,9 +125,10 @@
         connections.server_idle_timeout,
         resources.sockets.max_server_sockets(),
     );
-    let client_options = client_options(&settings, &connections.names, resources.sockets);
+    let client_options = client_options(&settings, &connections.names, &resources);
     let DriverParts { driver, server_commands, discovery_commands } =
         DriverParts::new(settings, resources.seed, resources.clock)?;
+    driver.limit_tables(resources.memory.ids, resources.memory.session_tokens);
     let components = Components::new(driver, connections.names, client_options, &resources, &state_files);
     components.admin.reload_out_of_service_list();
     // The predecessor's endpoint list comes from discovery; the list in the configuration is older.
@@ -166,16 +165,19 @@
     /// Seed of the routing engine's random number generator.
     pub seed: u64,
     pub sockets: SocketBudget,
+    pub memory: MemoryBudget,
 }
 
 impl Resources {
     fn reserve(config: &Config) -> Result<Self, StartError> {
         let clock = Clock::start();
         let started_at = Instant::now();
-        let buffer_bytes = config.limits.memory_mb as f64 * BYTES_PER_MEGABYTE * BUFFER_SHARE;
-        let buffers = BufferPool::new(buffer_bytes as usize);
         let seed = config.seed()?;
         let sockets = SocketBudget::acquire(config.limits.sockets)?;
-        Ok(Self { clock, started_at, buffers, seed, sockets })
+        memory_budget::warn_of_low_limit(config.limits.memory_mb);
+        let memory = MemoryBudget::new(config.limits.memory_mb, sockets);
+        log::info!("memory budget: {memory}");
+        let buffers = BufferPool::new(memory.pool);
+        Ok(Self { clock, started_at, buffers, seed, sockets, memory })
     }
 }
--- a/src/components.rs
+++ b/src/components.rs
@@ -26,7 +26,6 @@
 
 use crate::bootstrap::Resources;
 use crate::listeners::{ListenError, Startup, StateFiles};
-use crate::socket_budget::SocketBudget;
 
 /// Handles to the components of a proxy process.
 pub struct Components {
@@ -51,11 +50,12 @@
     pub ready_by: Instant,
 }
 
-/// Returns the options of the client service for the given settings and socket budget.
-pub fn client_options(settings: &Settings, names: &NameTable, sockets: SocketBudget) -> ClientOptions {
+/// Returns the options of the client service for the given settings and resources.
+pub fn client_options(settings: &Settings, names: &NameTable, resources: &Resources) -> ClientOptions {
+    let Resources { sockets, memory, .. } = resources;
     ClientOptions {
-        max_clients: sockets.max_clients(),
-        reserved_clients: sockets.reserved_clients(),
+        max_clients: memory.max_clients,
+        reserved_clients: sockets.reserved_clients().min(memory.max_clients),
         sockets: sockets.total(),
         classes: classes_by_name(settings, names),
     }
--- a/src/main.rs
+++ b/src/main.rs
@@ -6,6 +6,7 @@
 mod config_files;
 mod listeners;
 mod logger;
+mod memory_budget;
 mod reload;
 mod signals;
 mod socket_budget;
@@ -40,6 +41,9 @@
 
 fn check_config(files: &ConfigFiles) -> Result<(), LoadError> {
     let LoadedConfig { config, settings, .. } = files.load()?;
+    if config.limits.memory_mb < memory_budget::MIN_MEMORY_MB {
+        eprintln!("pipittack: {}", memory_budget::low_limit_text(config.limits.memory_mb));
+    }
     println!("{}: {} classes, listens at {}", config.name, settings.classes.len(), config.listen);
     Ok(())
 }
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -112,6 +112,13 @@
         self.0.clock
     }
 
+    /// Limits the sizes of the table of executed ids and of the session tokens, in bytes.
+    pub fn limit_tables(&self, max_id_bytes: usize, max_session_token_bytes: usize) {
+        let mut state = self.0.state.borrow_mut();
+        state.executed_ids.limit_bytes(max_id_bytes);
+        state.engine.limit_session_tokens(max_session_token_bytes);
+    }
+
     /// Submits a request. Returns its id and the receiver of its final response. If the client disconnects
     /// before the response, the caller must call [`Self::client_disconnected`].
     pub fn submit(&self, request: NewRequest, query: Q) -> (RequestId, oneshot::Receiver<Response<R>>) {
