Reserve buffers for long messages behind a row that is passed on as it arrives

Behind the row, messages were read into the one buffer that needs no reservation: a status of over 1 KiB before the end of the answer would have closed the client's connection.

--- a/src/net/server/query_result.rs
+++ b/src/net/server/query_result.rs
@@ -144,6 +144,9 @@
                     return Ok(Some(command_complete));
                 }
             }
+            if self.remaining_row_bytes == 0 {
+                self.reply.reserve_next_message()?;
+            }
             let stream = &self.connection.stream;
             let bytes = self.reply.bytes_mut();
             // Without further buffers the chunk is one buffer long.
@@ -190,6 +193,7 @@
         spawn_local(async move {
             let read_to_end = async {
                 while !self.reply.process_messages().await? {
+                    self.reply.reserve_next_message()?;
                     if self.reply.bytes_mut().read_from(&self.connection.stream).await? == 0 {
                         return Err(io::ErrorKind::UnexpectedEof.into());
                     }
--- a/src/net/server/reply.rs
+++ b/src/net/server/reply.rs
@@ -192,7 +192,7 @@
 
     /// Reserves the buffers for the next message if it needs any. Returns false if there are none for a row, which
     /// is then passed on as it arrives.
-    fn reserve_next_message(&mut self) -> io::Result<bool> {
+    pub(super) fn reserve_next_message(&mut self) -> io::Result<bool> {
         if !self.bytes.is_full() {
             return Ok(true);
         }
--- a/tests/network.rs
+++ b/tests/network.rs
@@ -6,7 +6,7 @@
 use std::time::Instant;
 
 use pipittack_testkit::scripted_server::{Reply, ScriptedServer, ServerRole};
-use pipittack_testkit::wire::{query, startup};
+use pipittack_testkit::wire::{parameter_status, query, ready_for_query, row, startup};
 use rstest::rstest;
 use support::*;
 
@@ -34,6 +34,25 @@
     }
 }
 
+/// Guards against messages behind a row that do not fit into the buffer in which they arrive.
+#[test]
+fn long_messages_behind_a_long_row_are_received() {
+    const COMMAND_COMPLETE_BYTES: usize = 14;
+    let value = vec![b'v'; 200_000];
+    let mut before = row(&value);
+    let command_complete = before.split_off(before.len() - COMMAND_COMPLETE_BYTES);
+    let status = parameter_status("stats", &"x=1,".repeat(3000));
+    let answer = [before, status.clone(), command_complete, status, ready_for_query()].concat();
+    let server = ScriptedServer::start(ServerRole::Primary, move |_| Reply::Raw(answer.clone()));
+    let proxy = start_proxy(&[server.endpoint("a", "read-write", "Ready")]);
+    let mut client = Client::connect(&proxy);
+    for _ in 0..3 {
+        let response = client.request(&read_statement(1000));
+        assert_eq!(message_kinds(&response), "TDCZ");
+        assert!(response.iter().any(|m| m.0 == b'D' && m.1.ends_with(&value)), "expected the complete value");
+    }
+}
+
 #[test]
 fn queries_pipelined_after_the_startup_packet_are_answered_in_order() {
     let server = ScriptedServer::start(ServerRole::Primary, reply_with_row);
