--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -2,7 +2,7 @@
 
 use std::cell::Cell;
 use std::future::Future;
-use std::io::{self, IoSlice};
+use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,16 +11,15 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep_until, timeout, Instant};
+use tokio::time::{sleep_until, Instant};
 
 use super::connection_table::{ConnectionId, IdleReason, NoRequestGuard};
 use super::inbound::{Inbound, ReceivedMessage};
 use super::service_phase::ServicePhase;
 use super::shared::Shared;
 use super::statement_memory::has_stalled;
-use crate::net::buffers::write_all;
 use crate::net::hot_restart::frame::Successor;
-use crate::net::postgres::{self, Severity};
+use crate::net::postgres;
 
 /// Time limit for receiving the startup packet of a new client, and for receiving the rest of a message whose
 /// first bytes have arrived. A client that cannot be served must be disconnected within 3 s of connecting.
@@ -33,8 +32,6 @@
 /// Length in bytes of the longest message that must be complete within [`MESSAGE_TIMEOUT`]. A longer message
 /// must make progress within that time.
 const MAX_SHORT_MESSAGE_BYTES: usize = 144 * 1024;
-/// Time limit for one write to a client.
-pub(super) const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
 pub(super) const TOO_MANY_CLIENTS: &str = "sorry, too many clients already";
 
 /// State of a connection when this process takes it on.
@@ -172,7 +169,7 @@
     pub(super) shared: &'s Shared,
     pub(super) id: ConnectionId,
     /// Time at which this process accepted or took over the connection, on the driver's clock.
-    accepted_at: Duration,
+    pub(super) accepted_at: Duration,
     pub(super) stream: Rc<TcpStream>,
     pub(super) inbound: Inbound,
     stage: Stage,
@@ -369,40 +366,6 @@
         }
     }
 
-    pub(super) async fn write(&self, bytes: &[u8]) -> io::Result<()> {
-        timeout(WRITE_TIMEOUT, write_all(&self.stream, &mut [IoSlice::new(bytes)])).await?
-    }
-
-    /// Writes messages and keeps the connection open.
-    pub(super) async fn reply(&self, push_messages: impl FnOnce(&mut Vec<u8>)) -> io::Result<Flow> {
-        let mut out = Vec::new();
-        push_messages(&mut out);
-        self.write(&out).await?;
-        Ok(Flow::Continue)
-    }
-
-    /// Writes an ErrorResponse without ReadyForQuery.
-    async fn reply_error(&self, code: &str, text: &str) -> io::Result<Flow> {
-        self.reply(|out| postgres::push_error(out, Severity::Error, code, text, None)).await
-    }
-
-    /// Writes an ErrorResponse and ReadyForQuery, which end the response to a query.
-    pub(super) async fn fail_query(&self, code: &str, text: &str) -> io::Result<Flow> {
-        self.reply(|out| {
-            postgres::push_error(out, Severity::Error, code, text, None);
-            postgres::push_ready_for_query(out);
-        })
-        .await
-    }
-
-    /// Writes a FATAL ErrorResponse and ends the connection.
-    pub(super) async fn fail_connection(&self, code: &str, text: &str) -> io::Result<Flow> {
-        let age = self.shared.driver.clock().now().saturating_sub(self.accepted_at);
-        self.shared.log_connection_error(self.id, age, text);
-        self.reply(|out| postgres::push_error(out, Severity::Fatal, code, text, None)).await?;
-        Ok(Flow::End)
-    }
-
     /// Returns the successor if this connection is to be handed over to it.
     fn handover_target(&self) -> Option<Successor> {
         let listener_closed = self.shared.phase.current() >= ServicePhase::ListenerClosed;
--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -17,6 +17,7 @@
 mod query_counter;
 mod rejections;
 mod request_ids;
+mod responses;
 mod service;
 mod service_phase;
 mod shared;
--- a/src/net/client/query.rs
+++ b/src/net/client/query.rs
@@ -6,11 +6,12 @@
 use tokio::time::{timeout, Instant};
 
 use super::class_table::ConfiguredClass;
-use super::connection::{boxed, Connection, Flow, WRITE_TIMEOUT};
+use super::connection::{boxed, Connection, Flow};
 use super::final_rejections::SHUTTING_DOWN;
 use super::inbound::ReceivedMessage;
 use super::long_statement::AbridgedText;
 use super::request_ids::IdStatus;
+use super::responses::WRITE_TIMEOUT;
 use super::service_phase::ServicePhase;
 use crate::api::{Consistency, GroupId};
 use crate::net::buffers::{write_chain, BufferReservation, Purpose};
