Split the buffer pool by job, and test chains against a plain vector

Tests: eight seeds of 4,000 random operations on a chain, charges that follow their buffers, the sum of all purposes, the share of a process. No behaviour changes.

--- a/src/net/buffers/chain.rs
+++ b/src/net/buffers/chain.rs
@@ -7,7 +7,8 @@
 use tokio::net::TcpStream;
 
 use super::arena::BUFFER_BYTES;
-use super::pool::{BufferPool, BufferReservation, ChargedBuffer, Purpose};
+use super::pool::{BufferPool, BufferReservation, ChargedBuffer};
+use super::purpose::Purpose;
 use crate::net::retry::is_transient;
 use crate::net::turn::{charge, Work};
 
@@ -314,3 +315,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/src/net/buffers/mod.rs
+++ b/src/net/buffers/mod.rs
@@ -2,16 +2,20 @@
 //!
 //! A buffer is acquired from the pool when a socket has bytes to read, and released when the bytes are no
 //! longer needed. A peer that has sent nothing occupies no buffer. All bytes of peers are in such buffers: a chain
-//! holds more than one only if the pool has reserved them.
+//! reads into more than one only if the pool has reserved them for it.
 
 mod arena;
 mod chain;
 mod discard;
 mod pool;
+mod purpose;
+mod usage;
 mod write;
 
 pub use arena::BUFFER_BYTES;
 pub use chain::BufferChain;
 pub use discard::discard_from;
-pub use pool::{Arrival, BufferPool, BufferReservation, Demand, PoolUsage, Purpose};
+pub use pool::{BufferPool, BufferReservation, Demand};
+pub use purpose::{Arrival, Purpose};
+pub use usage::PoolUsage;
 pub use write::{write_all, write_chain};
--- a/src/net/buffers/pool.rs
+++ b/src/net/buffers/pool.rs
@@ -5,7 +5,6 @@
 //! which it was reserved, from the reservation until the buffer is released, whichever chain it is moved to.
 
 use std::cell::{Cell, RefCell};
-use std::fmt::{self, Display, Formatter};
 use std::rc::Rc;
 
 use tokio::sync::{Mutex, Notify};
@@ -13,77 +12,17 @@
 use super::arena::{Arena, Buffer, BUFFER_BYTES};
 use super::chain::BufferChain;
 use super::discard::MAX_DISCARDED_BYTES;
+use super::purpose::{Arrival, Purpose};
+use super::usage::PoolUsage;
 
 /// Size of a buffer with the entries for it in the lists of its chain and of its segment, in bytes.
 const BUFFER_COST_BYTES: usize = BUFFER_BYTES + 128;
-/// Length in bytes of the shortest message that counts as long.
-const LONG_MESSAGE_BYTES: usize = 8 * 1024;
-/// Length in bytes of the shortest message that counts as very long.
-const VERY_LONG_MESSAGE_BYTES: usize = 128 * 1024;
-
 /// Share of a purpose that messages may fill of which a part has not arrived. A client that stops in the middle
 /// of a message then keeps no memory from those that have arrived.
 const PARTIAL_SHARE: f64 = 0.5;
 /// Share of the pool that the only reservation for a purpose may fill.
 const MAX_SINGLE_SHARE: f64 = 0.75;
 
-/// How much of a message has arrived when its buffers are reserved.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Arrival {
-    /// All of it is in the proxy or in the kernel's socket buffer.
-    Complete,
-    /// A part may never arrive.
-    Partial,
-}
-
-/// What buffers are reserved for. Each purpose may fill only its own share of the pool, so that none starves another
-/// one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Purpose {
-    /// A client's message that needs a few buffers.
-    ShortMessage,
-    /// A client's message of 8 to 128 KiB.
-    LongMessage,
-    /// A client's message of 128 KiB or more.
-    VeryLongMessage,
-    /// What a client sends while a request of its is in flight.
-    ReadAhead,
-    /// What a data server sends.
-    Answer,
-    /// State of a request in flight, outside the pool.
-    Request,
-}
-
-impl Purpose {
-    const ALL: [Self; 6] = [
-        Self::ShortMessage,
-        Self::LongMessage,
-        Self::VeryLongMessage,
-        Self::ReadAhead,
-        Self::Answer,
-        Self::Request,
-    ];
-
-    /// Returns the purpose of a client's message of this length in bytes.
-    pub fn of_message(bytes: usize) -> Self {
-        match bytes {
-            VERY_LONG_MESSAGE_BYTES.. => Self::VeryLongMessage,
-            LONG_MESSAGE_BYTES.. => Self::LongMessage,
-            _ => Self::ShortMessage,
-        }
-    }
-
-    /// Returns the share of the pool that this purpose may fill. The sum of all is 1.
-    fn max_share(self) -> f64 {
-        match self {
-            Self::ShortMessage | Self::LongMessage => 0.1,
-            Self::VeryLongMessage | Self::Request => 0.3,
-            Self::ReadAhead => 0.06,
-            Self::Answer => 0.14,
-        }
-    }
-}
-
 /// Pool of buffers. Clones refer to the same pool.
 #[derive(Clone)]
 pub struct BufferPool(Rc<Shared>);
@@ -220,37 +159,6 @@
     }
 }
 
-/// Use of the pool.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct PoolUsage {
-    /// Bytes that are reserved for client messages.
-    pub message_bytes: usize,
-    /// Bytes that are reserved for what clients send ahead.
-    pub read_ahead_bytes: usize,
-    /// Bytes that are reserved for answers of data servers.
-    pub answer_bytes: usize,
-    /// Bytes that are reserved for the state of requests in flight.
-    pub request_bytes: usize,
-    /// Bytes that may be reserved.
-    pub max_bytes: usize,
-    /// Bytes that were allocated for buffers, used or not.
-    pub allocated_bytes: usize,
-    /// Number of messages that wait for buffers.
-    pub waiting: usize,
-}
-
-impl Display for PoolUsage {
-    fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
-        let Self { message_bytes, read_ahead_bytes, answer_bytes, request_bytes, .. } = self;
-        write!(
-            f,
-            "messages={message_bytes} read_ahead={read_ahead_bytes} answers={answer_bytes} requests={request_bytes} \
-             max={} allocated={} waiting={}",
-            self.max_bytes, self.allocated_bytes, self.waiting
-        )
-    }
-}
-
 impl Default for BufferPool {
     /// Creates a pool without a limit.
     fn default() -> Self {
@@ -408,3 +316,6 @@
         (self.0.max_buffers as f64 * self.0.share.get() * share) as usize
     }
 }
+
+#[cfg(test)]
+mod tests;
