Discard bytes with a plain read into one shared buffer

The kernel's own discarding (MSG_TRUNC) went past the C library, and so past the faults of system calls that the tests inject.

--- a/src/net/buffers/pool.rs
+++ b/src/net/buffers/pool.rs
@@ -29,7 +29,7 @@
 
 struct Shared {
     arena: RefCell<Arena>,
-    /// Target of reads whose bytes are discarded. The kernel writes nothing to it.
+    /// Target of reads whose bytes are discarded. One buffer serves all connections.
     discard_buffer: RefCell<Vec<u8>>,
     accounts: [Account; Purpose::ALL.len()],
     /// Number of buffers that may be reserved.
