--- a/tests/support/crowd.rs
+++ b/tests/support/crowd.rs
@@ -18,6 +18,8 @@
 const TURN_INTERVAL: Duration = Duration::from_millis(4);
 /// Receive buffer of a client that reads slowly, in bytes.
 const SMALL_RECEIVE_BUFFER: usize = 2048;
+/// Number of the next connection of any crowd. The ids of its requests contain it.
+static NEXT_NUMBER: AtomicUsize = AtomicUsize::new(0);
 /// Time that the requests of a crowd give the proxy, in milliseconds.
 const TIMEOUT_MS: u64 = 1100;
 
@@ -152,9 +154,9 @@
     }
 
     /// Writes and reads once. Drops the connection if it has ended.
-    fn take_turn(&mut self, next_number: &AtomicUsize, buffer: &mut [u8]) {
+    fn take_turn(&mut self, buffer: &mut [u8]) {
         if self.connection.is_none() {
-            self.connect(next_number.fetch_add(1, Ordering::Relaxed));
+            self.connect(NEXT_NUMBER.fetch_add(1, Ordering::Relaxed));
         }
         let Some((stream, script)) = &mut self.connection else { return };
         let piece = script.next(self.sent);
@@ -207,7 +209,6 @@
         behaviours: &[Behaviour],
     ) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
-        let next_number = Arc::new(AtomicUsize::new(0));
         let shared: Vec<_> = behaviours.iter().map(|kind| Arc::new(shared_bytes(*kind))).collect();
         let member = |number: usize| {
             let kind = number % behaviours.len();
@@ -219,11 +220,11 @@
         let start_thread = |thread: usize| {
             let mut members: Vec<_> =
                 (0..count).filter(|number| number % THREADS == thread).map(member).collect();
-            let (stop, next_number) = (stop.clone(), next_number.clone());
+            let stop = stop.clone();
             thread::spawn(move || {
                 let mut buffer = vec![0; 1 << 16];
                 while !stop.load(Ordering::Relaxed) {
-                    members.iter_mut().for_each(|member| member.take_turn(&next_number, &mut buffer));
+                    members.iter_mut().for_each(|member| member.take_turn(&mut buffer));
                     thread::sleep(TURN_INTERVAL);
                 }
             })
