Review cases 6 to 10: one program for each case

Cause: the build script of the earlier review compiles case.rs in each numbered folder, and stopped at the new ones.

Change: the program of each case is case.rs in its folder; the checks and the disruptions are the same.

--- a/review/stand-ins-2/case_large_writes.rs
+++ b/review/8/case.rs
@@ -1,12 +1,16 @@
 //! Three clients write large values, each in 2 s, and others write values of 96 KiB.
 
+#[path = "../stand-ins-2/kit.rs"]
+mod kit;
+#[path = "../stand-ins-2/settings.rs"]
+mod settings;
+
 use std::io::Write;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::kit::{insert, query_message, sleep_ms, Answer, Client, Discovery, Group, Run, Server};
-use crate::{settings, Verdict};
+use kit::{insert, query_message, sleep_ms, Answer, Client, Discovery, Group, Run, Server, Verdict};
 
 /// Size in bytes of the large value, within the 4 MiB of the pages.
 const LARGE_VALUE: usize = 4 * 1024 * 1024 - 1024;
@@ -22,7 +26,7 @@
 /// Time after its deadline in which an answer only earns nothing, and the slack of time limits on sockets.
 const SLACK_MS: u64 = 550;
 
-pub fn run(run: &Run) -> Verdict {
+fn run(run: &Run) -> Verdict {
     let record = &run.record;
     let group = Arc::new(Group::default());
     let servers: Vec<_> =
@@ -39,7 +43,9 @@
     // The proxy learns the primary.
     let mut client = Client::connect(run.listen).map_err(|e| e.to_string())?;
     for n in 0..5 {
-        client.send(&insert("k", b"v", &format!("id=w{n},c=usage-write,d=3000,cluster=0"))).map_err(|e| e.to_string())?;
+        client
+            .send(&insert("k", b"v", &format!("id=w{n},c=usage-write,d=3000,cluster=0")))
+            .map_err(|e| e.to_string())?;
         let answer = client.answer(Duration::from_secs(4));
         record.line(&format!("warm-up write w{n}: {}", answer.text()));
     }
@@ -59,7 +65,10 @@
                     sleep_ms(LARGE_WRITE_MS / PIECES as u64);
                 }
             }
-            record.line(&format!("client wrote the last byte of id=large{n} after {} ms", started.elapsed().as_millis()));
+            record.line(&format!(
+                "client wrote the last byte of id=large{n} after {} ms",
+                started.elapsed().as_millis()
+            ));
             let answer = client.answer(Duration::from_secs(10));
             record.line(&format!("client got id=large{n}: {}", answer.text()));
             Ok(())
@@ -87,7 +96,9 @@
             let took = written.elapsed().as_millis() as u64;
             record.line(&format!("client got id=b{n} after {took} ms: {}", answer.text()));
             if matches!(answer, Answer::Nothing | Answer::Closed) || took > DEADLINE_MS + SLACK_MS {
-                record.line(&format!("BROKEN: id=b{n} got no final answer within {DEADLINE_MS} + {SLACK_MS} ms"));
+                record.line(&format!(
+                    "BROKEN: id=b{n} got no final answer within {DEADLINE_MS} + {SLACK_MS} ms"
+                ));
                 *held.lock().unwrap() = false;
             }
             Ok(())
@@ -101,3 +112,7 @@
     let held = *held.lock().unwrap();
     Ok(held)
 }
+
+fn main() {
+    kit::main("large-writes", run);
+}
--- a/review/stand-ins-2/kit.rs
+++ b/review/stand-ins-2/kit.rs
@@ -1,6 +1,8 @@
 //! Stand-ins and helpers for the cases of the second review: discovery, data servers, clients, and the proxy as a
 //! process of its own. Everything uses the standard library, loopback addresses and the real clock.
 
+#![allow(dead_code)] // no case uses all of it
+
 use std::collections::HashMap;
 use std::fs::File;
 use std::io::{self, Read, Write};
@@ -230,7 +232,8 @@
             let line = if is_first && (from == 0 || from < 10 || from > list.rev) {
                 Some(whole_list(&list) + "\n")
             } else if told < list.rev || (is_first && !self.begins_silent.load(SeqCst)) {
-                let entries: Vec<_> = list.changes.iter().filter(|(rev, _)| *rev > told).map(|(_, e)| e.json()).collect();
+                let entries: Vec<_> =
+                    list.changes.iter().filter(|(rev, _)| *rev > told).map(|(_, e)| e.json()).collect();
                 Some(format!("{{\"rev\":{},\"all\":false,\"targets\":[{}]}}\n", list.rev, entries.join(",")))
             } else {
                 None
@@ -408,7 +411,9 @@
         }
         match *self.follows.lock().unwrap() {
             Follows::Behind(ms) => now - ms,
-            Follows::CatchingUp { position, since, factor } => (position + (now - since).max(0.0) * factor).min(now - 5.0),
+            Follows::CatchingUp { position, since, factor } => {
+                (position + (now - since).max(0.0) * factor).min(now - 5.0)
+            }
         }
     }
 
@@ -475,8 +480,11 @@
         }
         let hex = text.split('\'').nth(3).unwrap_or_default().trim_start_matches("\\x");
         let digit = |byte: u8| (byte as char).to_digit(16).unwrap_or(0) as u8;
-        let value: Vec<u8> =
-            hex.as_bytes().chunks(2).map(|pair| digit(pair[0]) << 4 | digit(*pair.get(1).unwrap_or(&b'0'))).collect();
+        let value: Vec<u8> = hex
+            .as_bytes()
+            .chunks(2)
+            .map(|pair| digit(pair[0]) << 4 | digit(*pair.get(1).unwrap_or(&b'0')))
+            .collect();
         let at = self.group.commit(&key, &value);
         self.record.line(&format!("{uid} ran write id={id}, {} bytes, commit {at:.0}", value.len()));
         Some([row(&value), self.status(at.ceil())].concat())
@@ -584,7 +592,11 @@
 pub fn call(address: SocketAddr, method: &str, path: &str) -> Option<u32> {
     let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(1)).ok()?;
     stream.set_read_timeout(Some(Duration::from_secs(2))).ok()?;
-    stream.write_all(format!("{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Length: 0\r\n\r\n").as_bytes()).ok()?;
+    stream
+        .write_all(
+            format!("{method} {path} HTTP/1.1\r\nHost: {address}\r\nContent-Length: 0\r\n\r\n").as_bytes(),
+        )
+        .ok()?;
     let mut answer = Vec::new();
     let _ = stream.read_to_end(&mut answer);
     String::from_utf8_lossy(&answer).split(' ').nth(1)?.parse().ok()
@@ -741,8 +753,34 @@
         for entry in logs.iter().filter(|entry| entry.path().extension().is_some_and(|e| e == "log")) {
             self.record.line(&format!("log of the proxy, {}:", entry.file_name().to_string_lossy()));
             let text = std::fs::read_to_string(entry.path()).unwrap_or_default();
-            text.lines().filter(|line| !line.contains("TRACE")).take(400).for_each(|line| self.record.line(&format!("    {line}")));
+            text.lines()
+                .filter(|line| !line.contains("TRACE"))
+                .take(400)
+                .for_each(|line| self.record.line(&format!("    {line}")));
         }
         let _ = std::fs::remove_dir_all(&self.temp);
     }
 }
+
+/// Result of a case: whether the rule held, or why the case could not run.
+pub type Verdict = Result<bool, String>;
+
+/// Runs a case with the folder that is given as the argument. Ends with 1 if the rule was broken, 0 if it held, and 2 if
+/// the case could not run.
+pub fn main(name: &str, case: fn(&Run) -> Verdict) {
+    let Some(folder) = std::env::args().nth(1) else {
+        eprintln!("usage: {name} FOLDER");
+        std::process::exit(2);
+    };
+    end_after(110);
+    let run = Run::new(Path::new(&folder));
+    let (code, text) = match case(&run) {
+        Ok(true) => (0, "the rule held".to_owned()),
+        Ok(false) => (1, "the rule was broken".to_owned()),
+        Err(reason) => (2, format!("the case could not run: {reason}")),
+    };
+    run.record.line(&text);
+    run.finish();
+    println!("{name}: {text}");
+    std::process::exit(code);
+}
--- a/review/stand-ins-2/case_out_of_service.rs
+++ b/review/stand-ins-2/out_of_service.rs
@@ -1,20 +1,24 @@
 //! The proxy is told to send its clients away, while a client keeps a few commands ahead on its connection.
 
+#[path = "kit.rs"]
+mod kit;
+#[path = "settings.rs"]
+mod settings;
+
 use std::collections::VecDeque;
 use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::kit::{call, select, sleep_ms, Answer, Client, Discovery, Group, Run, Server};
-use crate::settings::{fonts, fonts_classes};
-use crate::Verdict;
+use kit::{call, select, sleep_ms, Answer, Client, Discovery, Group, Run, Server, Verdict};
+use settings::{fonts, fonts_classes};
 
 /// Time after the call in which clients have to be sent away, with the slack of time limits on sockets.
 const SENT_AWAY_MS: u64 = 4050;
 /// Time for which the client would go on.
 const CLIENT_MS: u64 = 9000;
 
-pub fn run(run: &Run) -> Verdict {
+fn run(run: &Run) -> Verdict {
     let record = &run.record;
     let group = Arc::new(Group::default());
     let servers: Vec<_> =
@@ -91,3 +95,7 @@
     }
     Ok(late.is_empty())
 }
+
+fn main() {
+    kit::main("out-of-service", run);
+}
--- a/review/stand-ins-2/settings.rs
+++ b/review/stand-ins-2/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of two small deployments, in the names of the pages.
 
+#![allow(dead_code)] // no case uses all of it
+
 /// A class of requests: name, effect, deadline in milliseconds, need, and the bound of its data's age.
 pub struct Class {
     pub name: &'static str,
