--- a/review/11/case.rs
+++ b/review/stand-ins-2/late_connections.rs
@@ -1,6 +1,6 @@
 //! Bounded reads wait for connections that come up late, at replicas whose position is known from a probe alone.
 
-#[path = "../lib-3/harness.rs"]
+#[path = "harness.rs"]
 mod harness;
 
 use std::io::Write;
--- a/review/12/case.rs
+++ b/review/stand-ins-2/restart_value.rs
@@ -1,6 +1,6 @@
 //! A planned restart (SIGTERM) while a data server gives a value of 4 MiB in pieces.
 
-#[path = "../lib-3/harness.rs"]
+#[path = "harness.rs"]
 mod harness;
 
 use std::io::Write;
--- a/review/14/case.rs
+++ b/review/stand-ins-2/silent_watches.rs
@@ -1,7 +1,7 @@
 //! All open watches of a fleet of 100 proxies fall silent, and a quarter of the data servers begins to drain. The
 //! traffic moves from the proxies of one zone to those of the other one 8.2 s later.
 
-#[path = "../lib-3/harness.rs"]
+#[path = "harness.rs"]
 mod harness;
 
 use std::io::Write;
