Log statements that wait for memory, and who has it

The wait of a statement for buffers was visible only as a late response. A line now names the length, the wait and the use of the pool, one in 10 s at most.

--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -59,6 +59,8 @@
     connection_errors: LogLimit,
     /// Log lines about requests that are rejected for lack of memory.
     memory_rejections: LogLimit,
+    /// Log lines about statements that waited for memory.
+    memory_waits: LogLimit,
 }
 
 impl Shared {
@@ -86,6 +88,7 @@
             accept_errors: LogLimit::default(),
             connection_errors: LogLimit::default(),
             memory_rejections: LogLimit::default(),
+            memory_waits: LogLimit::default(),
         }
     }
 
@@ -202,6 +205,19 @@
         }
     }
 
+    /// Counts a statement that waited for memory before it could be read on, and logs who has the memory if a log
+    /// line is due.
+    pub(super) fn log_memory_wait(&self, id: ConnectionId, bytes: usize, waited: Duration) {
+        if let Some(count) = self.memory_waits.record() {
+            let usage = self.pool.usage();
+            log::info!(
+                "client connection {id}: a statement of {bytes} bytes waited {} ms for memory ({count} such \
+                 statements): {usage}",
+                waited.as_millis()
+            );
+        }
+    }
+
     /// Logs the requests that were rejected because they exceeded the buffers, if a line is due.
     pub(super) fn log_overflow(&self, id: ConnectionId, requests: usize) {
         if let Some(count) = self.overflows.record() {
--- a/src/net/client/statement_memory.rs
+++ b/src/net/client/statement_memory.rs
@@ -16,6 +16,8 @@
 const LONG_STATEMENT_BYTES: usize = 128 * 1024;
 /// Interval at which a waiting statement is checked for having arrived completely.
 const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Wait for memory from which a log line tells of it.
+const LOGGED_WAIT: Duration = Duration::from_millis(100);
 /// Time without a received byte after which a statement gives its buffers up to another one.
 const STALL_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -31,6 +33,10 @@
             () = self.shared.requests_ended() => return false,
         };
         let is_reserved = reservation.is_some();
+        let waited = began_at.elapsed();
+        if waited >= LOGGED_WAIT {
+            self.shared.log_memory_wait(self.id, length, waited);
+        }
         match reservation {
             Some(reservation) => {
                 self.inbound.resume_reading(began_at);
