Count what was in a client's send buffer as received when its statement's wait for memory began

Cause: the wait counted only for the bytes in this end's receive buffer, some 64 KiB. The rest of the statement was in the client's send buffer and counted as received when it was read. Evidence and test: a_wait_for_memory_counts_against_the_time_that_is_passed_on failed before: told 2.994 s, 2.191 s were left. Why it works: the receiver learns nothing of the sender's buffer, so that up to 4 MiB behind a wait count from its beginning, until the client sends nothing for 10 ms.

--- a/src/net/buffers/mod.rs
+++ b/src/net/buffers/mod.rs
@@ -16,6 +16,6 @@
 pub use chain::BufferChain;
 pub use discard::discard_from;
 pub use pool::{BufferPool, BufferReservation, Demand};
-pub use purpose::{Arrival, Purpose};
+pub use purpose::{Arrival, Purpose, MAX_CLIENT_SEND_BUFFER_BYTES};
 pub use usage::PoolUsage;
 pub use write::{write_all, write_chain};
--- a/src/net/buffers/purpose.rs
+++ b/src/net/buffers/purpose.rs
@@ -4,6 +4,9 @@
 const LONG_MESSAGE_BYTES: usize = 8 * 1024;
 /// Length in bytes of the shortest message that counts as very long.
 const VERY_LONG_MESSAGE_BYTES: usize = 128 * 1024;
+/// Largest number of bytes that the kernel of a client keeps for it until they are sent: Linux's default of
+/// `tcp_wmem`.
+pub const MAX_CLIENT_SEND_BUFFER_BYTES: usize = 4 << 20;
 
 /// How much of a message has arrived when its buffers are reserved.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/src/net/client/inbound.rs
+++ b/src/net/client/inbound.rs
@@ -21,7 +21,9 @@
 use super::pipeline_overflow::{PipelineOverflow, SENT_TOO_FAR_AHEAD};
 use super::query_counter::QueryCounter;
 use super::rejections::Rejection;
-use crate::net::buffers::{self, BufferChain, BufferPool, BufferReservation, Demand, Purpose};
+use crate::net::buffers::{
+    self, BufferChain, BufferPool, BufferReservation, Demand, Purpose, MAX_CLIENT_SEND_BUFFER_BYTES,
+};
 use crate::net::driver::ClientHandle;
 use crate::net::retry::retry_if_interrupted;
 use crate::net::turn::{charge, Work};
@@ -35,6 +37,8 @@
 const READ_AHEAD_STEP_BYTES: usize = 4 * 1024;
 /// Largest number of records of reads. Beyond it, two that are close to each other in time become one.
 const MAX_READ_RECORDS: usize = 32;
+/// Time without a byte after which the client has sent all that it had written before.
+const BACKLOG_GAP: Duration = Duration::from_millis(10);
 /// Time limit for reading and discarding what a client sends after the proxy has shut down writing. Without
 /// these reads, the client could lose the last response.
 const LINGER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -47,8 +51,9 @@
     read_at: Instant,
 }
 
-/// Bytes that the kernel has received while the connection was not read.
-struct UnreadBytes {
+/// Bytes that a client may have written while its connection was not read.
+struct Backlog {
+    /// Largest number of such bytes: those that were received, and those in the client's send buffer.
     bytes: usize,
     /// Time since which the connection was not read.
     since: Instant,
@@ -68,8 +73,8 @@
     reads: VecDeque<ReadRecord>,
     /// Complete queries in `bytes`.
     queries: QueryCounter,
-    /// Bytes in the kernel that were received while the connection was not read.
-    unread: Option<UnreadBytes>,
+    /// Bytes that the client may have written while the connection was not read; `None` once they are read.
+    backlog: Option<Backlog>,
     /// Messages behind `bytes` that were discarded; `None` while all are kept.
     overflow: Option<PipelineOverflow>,
 }
@@ -90,7 +95,7 @@
             bytes: pool.chain(),
             reads: VecDeque::new(),
             queries: QueryCounter::default(),
-            unread: None,
+            backlog: None,
             overflow: None,
         }
     }
@@ -109,7 +114,10 @@
     /// Waits until the socket is readable and reads once. Returns the number of bytes; 0 is the end of the
     /// stream.
     pub(super) async fn read(&mut self) -> io::Result<usize> {
-        let bytes = self.bytes.read_from(&self.stream).await?;
+        let bytes = match self.backlog {
+            Some(_) => self.read_backlog().await?,
+            None => self.bytes.read_from(&self.stream).await?,
+        };
         let read_at = self.arrival_time(bytes);
         let is_mergeable =
             |last: &&mut ReadRecord| read_at.saturating_duration_since(last.read_at) < READ_MERGE_INTERVAL;
@@ -169,22 +177,44 @@
         self.bytes.reservation().map(BufferReservation::demand)
     }
 
+    /// Reads once like [`Self::read`]. Ends the backlog when the client sends nothing for [`BACKLOG_GAP`].
+    async fn read_backlog(&mut self) -> io::Result<usize> {
+        loop {
+            match timeout(BACKLOG_GAP, self.bytes.read_from(&self.stream)).await {
+                Ok(read) => return read,
+                // After a process pause, bytes are there although nothing was read in time.
+                Err(_) if self.unread_bytes() > 0 => {}
+                Err(_) => {
+                    self.backlog = None;
+                    return self.bytes.read_from(&self.stream).await;
+                }
+            }
+        }
+    }
+
     /// Returns the time that counts as the arrival of `bytes` bytes that were just read.
     fn arrival_time(&mut self, bytes: usize) -> Instant {
-        let Some(unread) = self.unread.take() else { return Instant::now() };
-        if bytes > unread.bytes {
+        let Some(backlog) = self.backlog.take() else { return Instant::now() };
+        if bytes > backlog.bytes {
             return Instant::now();
         }
-        let rest = unread.bytes - bytes;
-        self.unread = (rest > 0).then_some(UnreadBytes { bytes: rest, since: unread.since });
-        unread.since
+        let rest = backlog.bytes - bytes;
+        self.backlog = (rest > 0).then_some(Backlog { bytes: rest, since: backlog.since });
+        backlog.since
     }
 
-    /// Records that the connection was not read since `since`. The bytes that the kernel has received meanwhile
-    /// count as received then, so that the wait counts against the time of their request.
+    /// Records that the connection was not read since `since`. What the client may have written meanwhile counts as
+    /// received then, so that the wait counts against the time of its request. That is more than the kernel has
+    /// received: the rest is in the client's send buffer, of which this process learns nothing.
     pub(super) fn resume_reading(&mut self, since: Instant) {
-        let bytes = self.unread_bytes();
-        self.unread = (bytes > 0).then_some(UnreadBytes { bytes, since });
+        let since = self.backlog_since().unwrap_or(since);
+        self.backlog = Some(Backlog { bytes: self.unread_bytes() + MAX_CLIENT_SEND_BUFFER_BYTES, since });
+    }
+
+    /// Returns the earliest time at which the client may have written what it sends now; `None` if that is the
+    /// present.
+    pub(super) fn backlog_since(&self) -> Option<Instant> {
+        self.backlog.as_ref().map(|backlog| backlog.since)
     }
 
     /// Returns the number of bytes that the kernel has received and that were not read.
--- a/src/net/client/statement_memory.rs
+++ b/src/net/client/statement_memory.rs
@@ -16,6 +16,8 @@
 const LONG_STATEMENT_BYTES: usize = 128 * 1024;
 /// Interval at which a waiting statement is checked for having arrived completely.
 const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+/// Wait for memory from which it counts against the time of a statement.
+const MIN_COUNTED_WAIT: Duration = Duration::from_millis(1);
 /// Wait for memory from which a log line tells of it.
 const LOGGED_WAIT: Duration = Duration::from_millis(100);
 /// Time without a received byte after which a statement gives its buffers up to another one.
@@ -39,7 +41,9 @@
         }
         match reservation {
             Some(reservation) => {
-                self.inbound.resume_reading(began_at);
+                if waited >= MIN_COUNTED_WAIT {
+                    self.inbound.resume_reading(began_at);
+                }
                 self.inbound.attach(reservation);
             }
             None => {
