Give large statements memory in steps beside larger ones, and bound their wait

Cause: a statement of 128 KiB or more waited in order and without a limit for all its buffers, as its client could not have written its end. That is so only above what the sockets hold. A single statement of 8 MB kept the others out of the 30 % of the pool that they shared. Why it works: statements up to 5 MiB reserve 64 KiB at a time, if all that have begun can still be completed; very long ones keep their order. What may be complete waits no longer than its client does.

--- a/src/net/buffers/chain.rs
+++ b/src/net/buffers/chain.rs
@@ -101,6 +101,11 @@
         self.reservation.as_ref()
     }
 
+    /// Removes and returns the buffers that are reserved and not used yet.
+    pub fn take_reservation(&mut self) -> Option<BufferReservation> {
+        self.reservation.take()
+    }
+
     /// Returns the reserved buffers that are not used to the pool.
     pub fn drop_reservation(&mut self) {
         self.reservation = None;
--- a/src/net/buffers/mod.rs
+++ b/src/net/buffers/mod.rs
@@ -7,6 +7,7 @@
 mod arena;
 mod chain;
 mod discard;
+mod large_messages;
 mod pool;
 mod purpose;
 mod usage;
--- a/src/net/buffers/pool.rs
+++ b/src/net/buffers/pool.rs
@@ -12,16 +12,17 @@
 use super::arena::{Arena, Buffer, BUFFER_BYTES};
 use super::chain::BufferChain;
 use super::discard::MAX_DISCARDED_BYTES;
+use super::large_messages::{AwaitedGuard, ClaimId, LargeMessages};
 use super::purpose::{Arrival, Purpose};
 use super::usage::PoolUsage;
 
 /// Size of a buffer with the entries for it in the lists of its chain and of its segment, in bytes.
-const BUFFER_COST_BYTES: usize = BUFFER_BYTES + 128;
+pub(super) const BUFFER_COST_BYTES: usize = BUFFER_BYTES + 128;
 /// Share of a purpose that messages may fill of which a part has not arrived. A client that stops in the middle
 /// of a message then keeps no memory from those that have arrived.
 const PARTIAL_SHARE: f64 = 0.5;
 /// Share of the pool that the only reservation for a purpose may fill.
-const MAX_SINGLE_SHARE: f64 = 0.75;
+pub(super) const MAX_SINGLE_SHARE: f64 = 0.75;
 
 /// Pool of buffers. Clones refer to the same pool.
 #[derive(Clone)]
@@ -32,6 +33,9 @@
     /// Target of reads whose bytes are discarded. One buffer serves all connections.
     discard_buffer: RefCell<Vec<u8>>,
     accounts: [Account; Purpose::ALL.len()],
+    large_messages: LargeMessages,
+    /// Notified when a message begins to wait.
+    wait_begun: Notify,
     /// Number of buffers that may be reserved.
     max_buffers: usize,
     /// Share of `max_buffers` that this process may use, from 0 to 1.
@@ -48,19 +52,18 @@
     reserved_buffers: Cell<usize>,
     /// Number of messages that wait for a reservation.
     waiting: Cell<usize>,
-    /// Notified when a message begins to wait.
-    wait_begun: Notify,
     /// Notified when buffers are released or the process's share of the pool changes.
     released: Notify,
 }
 
 /// Counts a message among those that wait for a reservation until it is dropped.
-struct WaitingGuard<'a>(&'a Account);
+pub(super) struct WaitingGuard<'a>(&'a Account);
 
 impl<'a> WaitingGuard<'a> {
-    fn new(account: &'a Account) -> Self {
+    pub(super) fn new(pool: &'a BufferPool, purpose: Purpose) -> Self {
+        let account = pool.account(purpose);
         account.waiting.set(account.waiting.get() + 1);
-        account.wait_begun.notify_waiters();
+        pool.0.wait_begun.notify_waiters();
         Self(account)
     }
 }
@@ -97,15 +100,37 @@
     pool: BufferPool,
     purpose: Purpose,
     buffers: usize,
+    /// Claim of a large message, whose buffers are reserved in steps.
+    claim: Option<ClaimId>,
 }
 
 impl Drop for BufferReservation {
     fn drop(&mut self) {
+        if let Some(claim) = self.claim {
+            self.pool.end_claim(claim);
+        }
         self.pool.uncharge(self.purpose, self.buffers);
     }
 }
 
 impl BufferReservation {
+    pub(super) fn with_claim(pool: BufferPool, claim: ClaimId) -> Self {
+        Self { pool, purpose: Purpose::LargeMessage, buffers: 0, claim: Some(claim) }
+    }
+
+    pub(super) fn claim(&self) -> Option<ClaimId> {
+        self.claim
+    }
+
+    pub(super) fn pool(&self) -> &BufferPool {
+        &self.pool
+    }
+
+    /// Adds buffers that were charged to the purpose.
+    pub(super) fn add(&mut self, buffers: usize) {
+        self.buffers += buffers;
+    }
+
     /// Returns the number of reserved buffers that are not used yet.
     pub fn buffers(&self) -> usize {
         self.buffers
@@ -139,7 +164,7 @@
     }
 }
 
-/// The messages that wait for buffers of one purpose.
+/// The messages that wait for buffers of one purpose, or of one that competes with it.
 pub struct Demand {
     pool: BufferPool,
     purpose: Purpose,
@@ -148,10 +173,10 @@
 impl Demand {
     /// Waits until a message waits for a reservation.
     pub async fn wait(&self) {
-        let account = self.pool.account(self.purpose);
+        let is_waiting = |purpose: &Purpose| self.pool.account(*purpose).waiting.get() > 0;
         loop {
-            let wait_begun = account.wait_begun.notified();
-            if account.waiting.get() > 0 {
+            let wait_begun = self.pool.0.wait_begun.notified();
+            if self.purpose.competing().iter().any(is_waiting) {
                 return;
             }
             wait_begun.await;
@@ -173,6 +198,8 @@
             arena: RefCell::default(),
             discard_buffer: RefCell::new(vec![0; MAX_DISCARDED_BYTES]),
             accounts: Default::default(),
+            large_messages: LargeMessages::default(),
+            wait_begun: Notify::new(),
             max_buffers: max_bytes / BUFFER_COST_BYTES,
             share: Cell::new(1.0),
         }))
@@ -188,12 +215,14 @@
         arrival: Arrival,
     ) -> Option<BufferReservation> {
         let account = self.account(purpose);
-        let _waiting = WaitingGuard::new(account);
+        let _waiting = WaitingGuard::new(self, purpose);
         let queue = match arrival {
             Arrival::Complete => &account.complete_queue,
             Arrival::Partial => &account.partial_queue,
         };
         let _queue_head = queue.lock().await;
+        let is_very_long = purpose == Purpose::VeryLongMessage;
+        let _awaited = is_very_long.then(|| AwaitedGuard::new(self.large_messages(), buffers));
         loop {
             let released = account.released.notified();
             if buffers > self.share_in_buffers(MAX_SINGLE_SHARE) {
@@ -205,12 +234,12 @@
             released.await;
         }
         self.charge(purpose, buffers);
-        Some(BufferReservation { pool: self.clone(), purpose, buffers })
+        Some(BufferReservation { pool: self.clone(), purpose, buffers, claim: None })
     }
 
     /// Reserves buffers without waiting. Returns `None` if they do not fit.
     pub fn try_reserve(&self, buffers: usize, purpose: Purpose) -> Option<BufferReservation> {
-        let mut reservation = BufferReservation { pool: self.clone(), purpose, buffers: 0 };
+        let mut reservation = BufferReservation { pool: self.clone(), purpose, buffers: 0, claim: None };
         reservation.try_extend(buffers).then_some(reservation)
     }
 
@@ -239,8 +268,9 @@
 
     /// Returns how much of the pool is in use.
     pub fn usage(&self) -> PoolUsage {
-        let reserved = |purpose| self.account(purpose).reserved_buffers.get() * BUFFER_COST_BYTES;
-        let messages = [Purpose::ShortMessage, Purpose::LongMessage, Purpose::VeryLongMessage];
+        let reserved = |purpose| self.reserved(purpose) * BUFFER_COST_BYTES;
+        let messages =
+            [Purpose::ShortMessage, Purpose::LongMessage, Purpose::LargeMessage, Purpose::VeryLongMessage];
         PoolUsage {
             message_bytes: messages.into_iter().map(reserved).sum(),
             read_ahead_bytes: reserved(Purpose::ReadAhead),
@@ -275,7 +305,26 @@
         &self.0.discard_buffer
     }
 
-    fn charge(&self, purpose: Purpose, buffers: usize) {
+    pub(super) fn large_messages(&self) -> &LargeMessages {
+        &self.0.large_messages
+    }
+
+    /// Returns the notification of released buffers for messages of this purpose.
+    pub(super) fn released(&self, purpose: Purpose) -> &Notify {
+        &self.account(purpose).released
+    }
+
+    /// Returns the number of buffers that are reserved for this purpose.
+    pub(super) fn reserved(&self, purpose: Purpose) -> usize {
+        self.account(purpose).reserved_buffers.get()
+    }
+
+    /// Returns the number of buffers that are reserved for any purpose.
+    pub(super) fn total_reserved(&self) -> usize {
+        self.0.accounts.iter().map(|account| account.reserved_buffers.get()).sum()
+    }
+
+    pub(super) fn charge(&self, purpose: Purpose, buffers: usize) {
         let reserved = &self.account(purpose).reserved_buffers;
         reserved.set(reserved.get() + buffers);
     }
@@ -288,7 +337,7 @@
         }
     }
 
-    fn notify_waiting(&self) {
+    pub(super) fn notify_waiting(&self) {
         let waiting = self.0.accounts.iter().filter(|account| account.waiting.get() > 0);
         waiting.for_each(|account| account.released.notify_waiters());
     }
@@ -301,18 +350,24 @@
             (Purpose::VeryLongMessage, _) | (_, Arrival::Complete) => purpose.max_share(),
             (_, Arrival::Partial) => purpose.max_share() * PARTIAL_SHARE,
         };
-        let reserved = self.account(purpose).reserved_buffers.get();
+        let reserved = self.reserved(purpose);
         let share = if reserved == 0 { MAX_SINGLE_SHARE } else { share };
-        let total: usize = self.0.accounts.iter().map(|account| account.reserved_buffers.get()).sum();
-        reserved + buffers <= self.share_in_buffers(share) && total + buffers <= self.share_in_buffers(1.0)
+        reserved + buffers <= self.share_in_buffers(share)
+            && self.total_reserved() + buffers <= self.share_in_buffers(1.0)
+            && (purpose != Purpose::VeryLongMessage || self.admits_very_long(reserved + buffers))
     }
 
     fn account(&self, purpose: Purpose) -> &Account {
         &self.0.accounts[purpose as usize]
     }
 
+    /// Returns the number of buffers that all processes together may reserve.
+    pub(super) fn max_buffers(&self) -> usize {
+        self.0.max_buffers
+    }
+
     /// Returns a share of the part of the pool that this process may use, in buffers.
-    fn share_in_buffers(&self, share: f64) -> usize {
+    pub(super) fn share_in_buffers(&self, share: f64) -> usize {
         (self.0.max_buffers as f64 * self.0.share.get() * share) as usize
     }
 }
--- a/src/net/client/class_table.rs
+++ b/src/net/client/class_table.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::Instant;
 
-use crate::api::{Class, ClassId, Settings};
+use crate::api::{Class, ClassId, Consistency, Settings};
 use crate::net::server::PgDriver;
 
 /// Time for which requests may still name a class after a reload has removed it; such requests may already
@@ -45,6 +45,14 @@
         self.current.get(name).or(removed.map(|removed| &removed.entry)).cloned()
     }
 
+    /// Returns the shortest deadline of a class of writes; `None` without such a class.
+    pub(super) fn shortest_write_deadline(&self) -> Option<Duration> {
+        let removed = self.removed.values().map(|removed| &removed.entry);
+        let classes = self.current.values().chain(removed).map(|entry| &entry.class);
+        let writes = classes.filter(|class| class.consistency == Consistency::Write);
+        writes.map(|class| class.deadline).min()
+    }
+
     /// Applies new settings. `names` holds the names of the classes in the order of the settings. A class
     /// whose name and settings are unchanged keeps its id.
     pub(super) fn reconfigure(&mut self, driver: &PgDriver, settings: Settings, names: &[String]) {
--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -317,7 +317,7 @@
     /// before it reads the rest.
     async fn next_message(&mut self) -> io::Result<NextMessage> {
         let mut deadline = None;
-        let mut started_at = Instant::now();
+        let mut reserved_at = None;
         let mut is_long = false;
         self.inbound.drop_reservation();
         loop {
@@ -342,7 +342,7 @@
                         continue;
                     }
                     is_long = length > MAX_SHORT_MESSAGE_BYTES;
-                    started_at = Instant::now();
+                    reserved_at.get_or_insert_with(Instant::now);
                 }
             }
             self.inbound.join_reads();
@@ -350,7 +350,9 @@
             let _idle_guard =
                 is_between_messages.then(|| self.shared.connections.mark_idle(self.idle_reason(), self.id));
             if !is_between_messages && (deadline.is_none() || is_long) {
-                deadline = Some((Instant::now() + MESSAGE_TIMEOUT).min(started_at + LONG_MESSAGE_TIMEOUT));
+                let now = Instant::now();
+                let started_at = reserved_at.unwrap_or(now);
+                deadline = Some((now + MESSAGE_TIMEOUT).min(started_at + LONG_MESSAGE_TIMEOUT));
             }
             if !self.read_more(deadline).await? {
                 return Ok(NextMessage::End);
--- a/src/net/client/inbound.rs
+++ b/src/net/client/inbound.rs
@@ -57,6 +57,8 @@
     bytes: usize,
     /// Time since which the connection was not read.
     since: Instant,
+    /// Number of bytes of the message that had been read until then.
+    read_before: usize,
 }
 
 /// A complete message and the time at which its last byte was read.
@@ -75,6 +77,10 @@
     queries: QueryCounter,
     /// Bytes that the client may have written while the connection was not read; `None` once they are read.
     backlog: Option<Backlog>,
+    /// Time at which the first byte of the message that is being received was read.
+    message_began_at: Instant,
+    /// Whether the client has let the proxy wait for a part of that message.
+    is_written_slowly: bool,
     /// Messages behind `bytes` that were discarded; `None` while all are kept.
     overflow: Option<PipelineOverflow>,
 }
@@ -96,6 +102,8 @@
             reads: VecDeque::new(),
             queries: QueryCounter::default(),
             backlog: None,
+            message_began_at: Instant::now(),
+            is_written_slowly: false,
             overflow: None,
         }
     }
@@ -114,10 +122,17 @@
     /// Waits until the socket is readable and reads once. Returns the number of bytes; 0 is the end of the
     /// stream.
     pub(super) async fn read(&mut self) -> io::Result<usize> {
+        let is_within_message = !self.bytes.is_empty();
+        let began_at = Instant::now();
         let bytes = match self.backlog {
             Some(_) => self.read_backlog().await?,
             None => self.bytes.read_from(&self.stream).await?,
         };
+        if is_within_message {
+            self.is_written_slowly |= began_at.elapsed() >= BACKLOG_GAP;
+        } else {
+            self.message_began_at = Instant::now();
+        }
         let read_at = self.arrival_time(bytes);
         let is_mergeable =
             |last: &&mut ReadRecord| read_at.saturating_duration_since(last.read_at) < READ_MERGE_INTERVAL;
@@ -198,17 +213,20 @@
         if bytes > backlog.bytes {
             return Instant::now();
         }
+        let since = backlog.since;
         let rest = backlog.bytes - bytes;
-        self.backlog = (rest > 0).then_some(Backlog { bytes: rest, since: backlog.since });
-        backlog.since
+        self.backlog = (rest > 0).then_some(Backlog { bytes: rest, ..backlog });
+        since
     }
 
     /// Records that the connection was not read since `since`. What the client may have written meanwhile counts as
     /// received then, so that the wait counts against the time of its request. That is more than the kernel has
     /// received: the rest is in the client's send buffer, of which this process learns nothing.
     pub(super) fn resume_reading(&mut self, since: Instant) {
-        let since = self.backlog_since().unwrap_or(since);
-        self.backlog = Some(Backlog { bytes: self.unread_bytes() + MAX_CLIENT_SEND_BUFFER_BYTES, since });
+        let bytes = self.unread_bytes() + MAX_CLIENT_SEND_BUFFER_BYTES;
+        let read_before = self.bytes.len();
+        let backlog = self.backlog.take().unwrap_or(Backlog { bytes, since, read_before });
+        self.backlog = Some(Backlog { bytes, ..backlog });
     }
 
     /// Returns the earliest time at which the client may have written what it sends now; `None` if that is the
@@ -217,6 +235,23 @@
         self.backlog.as_ref().map(|backlog| backlog.since)
     }
 
+    /// Returns the time that the client needs, from when the connection was not read, for the rest of a message of
+    /// `length` bytes at the pace until then; `None` if it has never let the proxy wait for a part of the message.
+    pub(super) fn time_to_write_rest(&self, length: usize) -> Option<Duration> {
+        let (paused_at, read_bytes) = match &self.backlog {
+            Some(backlog) => (backlog.since, backlog.read_before),
+            None => (Instant::now(), self.bytes.len()),
+        };
+        let read_time = paused_at.saturating_duration_since(self.message_began_at);
+        let missing_bytes = length.saturating_sub(read_bytes);
+        self.is_written_slowly.then(|| read_time.mul_f64(missing_bytes as f64 / read_bytes.max(1) as f64))
+    }
+
+    /// Removes and returns the buffers that are reserved for this client and not used yet.
+    pub(super) fn take_reservation(&mut self) -> Option<BufferReservation> {
+        self.bytes.take_reservation()
+    }
+
     /// Returns the number of bytes that the kernel has received and that were not read.
     pub(super) fn unread_bytes(&self) -> usize {
         ioctl_fionread(&*self.stream).ok().and_then(|bytes| usize::try_from(bytes).ok()).unwrap_or(0)
@@ -234,6 +269,7 @@
     /// of them was read.
     pub(super) async fn take_message(&mut self, count: usize) -> ReceivedMessage {
         charge(Work::Message).await;
+        self.is_written_slowly = false;
         self.queries.remove(&self.bytes, count);
         let mut remaining = count;
         let mut received_at = Instant::now();
