End a shutdown by the deadlines of the settings in force, not by those of a dropped class

Cause: the shutdown took the longest deadline from the driver's class table, which keeps dropped classes for requests in flight. The driver's max_deadline stays: it bounds what is in flight, and its test is unchanged. Why it works: the table of the current settings knows no dropped class.

--- a/src/net/client/class_table.rs
+++ b/src/net/client/class_table.rs
@@ -45,6 +45,12 @@
         self.current.get(name).or(removed.map(|removed| &removed.entry)).cloned()
     }
 
+    /// Returns the longest deadline of a class of the current settings; zero without classes. A class that a reload
+    /// removed does not count: the platform ends a process by the settings in force.
+    pub(super) fn longest_deadline(&self) -> Duration {
+        self.current.values().map(|entry| entry.class.deadline).max().unwrap_or_default()
+    }
+
     /// Returns the shortest deadline of a class of writes; `None` without such a class.
     pub(super) fn shortest_write_deadline(&self) -> Option<Duration> {
         let removed = self.removed.values().map(|removed| &removed.entry);
--- a/src/net/client/shutdown.rs
+++ b/src/net/client/shutdown.rs
@@ -26,7 +26,7 @@
         let pause = shared.pauses.recent_pause();
         let shutdown = GracefulShutdown::new(
             clock.now(),
-            shared.driver.max_deadline(),
+            shared.classes.borrow().longest_deadline(),
             shared.active_connections.get(),
             pause,
         );
--- a/tests/graceful_shutdown.rs
+++ b/tests/graceful_shutdown.rs
@@ -180,3 +180,41 @@
     assert!(kinds.is_empty() || kinds == "TDCZ", "{kinds}");
     drop(successor);
 }
+
+/// Deadline of the only class of writes after the reload, and the longest one then.
+const NEW_DEADLINE: Duration = Duration::from_millis(1500);
+/// Time from the longest deadline after SIGTERM to SIGKILL.
+const KILL_DELAY: Duration = Duration::from_millis(700);
+/// Time after SIGTERM at which a request arrives that the process cannot serve until SIGKILL.
+const LATE_REQUEST_DELAY: Duration = Duration::from_millis(900);
+
+/// Guards against a shutdown that waits for the deadline of a class that a reload has dropped, and is killed with
+/// requests in flight (trial dropped-class of the second review).
+#[test]
+fn a_shutdown_after_a_reload_ends_by_the_deadlines_of_the_new_classes() {
+    let server = start_server_with_marked_reply("id=hangs", || Reply::NoResponse);
+    let mut proxy = start_proxy(&[server.endpoint("a", "read-write", "Ready")]);
+    let mut client = Client::connect(&proxy);
+    assert_eq!(message_kinds(&client.request(&write_statement(3000))), "TDCZ");
+    let config = std::fs::read_to_string(&proxy.config_path).expect("the configuration can be read");
+    let config = config
+        .replace("usage-write", "usage-note")
+        .replace(r#""DeadlineMs": 3000"#, &format!(r#""DeadlineMs": {}"#, NEW_DEADLINE.as_millis()));
+    std::fs::write(&proxy.config_path, config).expect("the configuration can be written");
+    proxy.signal("HUP");
+    proxy.wait_for_log("configuration reloaded");
+    let signalled_at = Instant::now();
+    proxy.signal("TERM");
+    sleep(LATE_REQUEST_DELAY);
+    let timeout_ms = NEW_DEADLINE.as_millis() as u32;
+    let statement = write_statement_with_id("hangs", timeout_ms).replace("usage-write", "usage-note");
+    let response = client.request(&statement);
+    let answered_at = signalled_at.elapsed();
+    assert_eq!(message_kinds(&response), "EZ", "after {answered_at:?}");
+    let time = time_to_exit(&mut proxy, signalled_at);
+    let killed_at = NEW_DEADLINE + KILL_DELAY;
+    assert!(
+        answered_at < killed_at && time < killed_at,
+        "answered after {answered_at:?}, ended after {time:?}"
+    );
+}
