Bound the time of a read at a replica also by the position in a load report

Cause: the driver's last check before the first byte knows the positions that answers told. That of a load report went to the engine alone. Evidence: the new test failed before in both rows: read 1 at a replica has no deadline. Why it works: load reports and statuses go into the same view of the servers.

--- a/src/net/driver/endpoint_view.rs
+++ b/src/net/driver/endpoint_view.rs
@@ -107,6 +107,15 @@
         self.record_role(server, status.primary);
     }
 
+    /// Records the status in a load report of a server. A report that names no role changes only the position of a
+    /// known replica.
+    pub(super) fn record_load_report(&mut self, server: ServerId, status: ServerStatus) {
+        let primary = status.primary.or(self.is_replica(server).then_some(false));
+        if primary.is_some() {
+            self.record_status(server, ServerStatus { primary, ..status });
+        }
+    }
+
     /// Records the role that a server reported: whether it is the primary, or `None` if the report does not
     /// say so.
     pub(super) fn record_role(&mut self, server: ServerId, is_primary: Option<bool>) {
--- a/src/net/driver/servers.rs
+++ b/src/net/driver/servers.rs
@@ -21,8 +21,10 @@
     /// Reports the result of a health check. `ok` says whether the server passed; `load_report` is `None` if
     /// the server sent no load report.
     pub fn health_checked(&self, server: ServerId, ok: bool, load_report: Option<LoadReport>) {
-        let is_primary = load_report.as_ref().and_then(|report| report.primary);
-        self.0.state.borrow_mut().endpoints.record_role(server, is_primary);
+        if let Some(LoadReport { position, primary, .. }) = load_report {
+            let status = ServerStatus { position, primary };
+            self.0.state.borrow_mut().endpoints.record_load_report(server, status);
+        }
         self.queue_event(Event::HealthChecked { server, ok, load_report });
     }
 
--- a/tests/driver.rs
+++ b/tests/driver.rs
@@ -158,6 +158,34 @@
     assert!(at_replica > 0, "expected reads at replicas: {at_replica} there, {at_primary} at the primary");
 }
 
+/// Guards against a bounded read that is written when the data is too old: it waits for a connection, and the position
+/// of its replica is known from a load report alone (trial late-connections of the second review).
+#[rstest::rstest]
+#[case::report_with_role(Some(false))]
+#[case::report_without_role(None)]
+fn a_replica_known_from_a_load_report_has_a_staleness_deadline(#[case] role: Option<bool>) {
+    let clock = Clock::start();
+    let (driver, mut commands) = start_driver(clock);
+    for server in [ServerId(2), ServerId(3)] {
+        let report = |primary| LoadReport { position: Some(clock.now()), primary, ..LoadReport::default() };
+        driver.health_checked(server, true, Some(report(Some(false))));
+        driver.health_checked(server, true, Some(report(role)));
+    }
+    driver.step();
+    let mut at_replica = 0;
+    for _ in 0..50 {
+        let (_, _response) = driver.submit(new_request(BOUNDED_READ), "query");
+        driver.step();
+        while let Some(attempt) = next_attempt(&mut commands) {
+            if attempt.server != ServerId(1) {
+                at_replica += 1;
+                assert!(attempt.send_deadline.is_some(), "read {at_replica} at a replica has no deadline");
+            }
+        }
+    }
+    assert!(at_replica > 0, "expected reads at replicas");
+}
+
 /// Data servers may close idle connections earlier than the settings say; such a connection breaks at its
 /// next query. Connections are not reused after an idle time at which they break often. If connections break
 /// as often after a short idle time, the idle time is not the cause and stays unlimited.
@@ -220,12 +248,7 @@
             .map(|_| {
                 let mut message = pool.chain();
                 message.extend(&query("SELECT d=0"));
-                driver
-                    .submit(
-                        new_request(UNIQUE_WRITE),
-                        Query { message, timeout_range: 14..15, reservation: None },
-                    )
-                    .1
+                driver.submit(new_request(UNIQUE_WRITE), Query { message, timeout_range: 14..15, reservation: None }).1
             })
             .collect();
         for response in responses {
