Give buffer reservations a module of their own, and drop a field that was never set

Nothing but the place changes. Query::reservation was always None. The tests of the library, the driver and large statements pass.

--- a/src/net/buffers/chain.rs
+++ b/src/net/buffers/chain.rs
@@ -7,8 +7,9 @@
 use tokio::net::TcpStream;
 
 use super::arena::BUFFER_BYTES;
-use super::pool::{BufferPool, BufferReservation, ChargedBuffer};
+use super::pool::{BufferPool, ChargedBuffer};
 use super::purpose::Purpose;
+use super::reservation::BufferReservation;
 use crate::net::retry::is_transient;
 use crate::net::turn::{charge, Work};
 
--- a/src/net/buffers/large_messages.rs
+++ b/src/net/buffers/large_messages.rs
@@ -8,8 +8,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 
-use super::pool::{BufferPool, BufferReservation, WaitingGuard, MAX_SINGLE_SHARE};
+use super::pool::{BufferPool, WaitingGuard, MAX_SINGLE_SHARE};
 use super::purpose::Purpose;
+use super::reservation::BufferReservation;
 
 /// Largest number of buffers in a step.
 const STEP_BUFFERS: usize = 64;
--- a/src/net/buffers/large_messages/tests.rs
+++ b/src/net/buffers/large_messages/tests.rs
@@ -1,7 +1,8 @@
 //! Tests of `large_messages`.
 
-use super::super::pool::{BufferPool, BufferReservation, BUFFER_COST_BYTES};
+use super::super::pool::{BufferPool, BUFFER_COST_BYTES};
 use super::super::purpose::Purpose;
+use super::super::reservation::BufferReservation;
 use super::STEP_BUFFERS;
 
 /// Number of buffers of the pool under test.
--- a/src/net/buffers/mod.rs
+++ b/src/net/buffers/mod.rs
@@ -10,13 +10,15 @@
 mod large_messages;
 mod pool;
 mod purpose;
+mod reservation;
 mod usage;
 mod write;
 
 pub use arena::BUFFER_BYTES;
 pub use chain::BufferChain;
 pub use discard::discard_from;
-pub use pool::{BufferPool, BufferReservation, Demand};
+pub use pool::BufferPool;
 pub use purpose::{Arrival, Purpose, MAX_CLIENT_SEND_BUFFER_BYTES};
+pub use reservation::{BufferReservation, Demand};
 pub use usage::PoolUsage;
 pub use write::{write_all, write_chain};
--- a/src/net/buffers/pool.rs
+++ b/src/net/buffers/pool.rs
@@ -12,8 +12,9 @@
 use super::arena::{Arena, Buffer, BUFFER_BYTES};
 use super::chain::BufferChain;
 use super::discard::MAX_DISCARDED_BYTES;
-use super::large_messages::{AwaitedGuard, ClaimId, LargeMessages};
+use super::large_messages::{AwaitedGuard, LargeMessages};
 use super::purpose::{Arrival, Purpose};
+use super::reservation::BufferReservation;
 use super::usage::PoolUsage;
 
 /// Size of a buffer with the entries for it in the lists of its chain and of its segment, in bytes.
@@ -95,95 +96,6 @@
     }
 }
 
-/// Buffers of the pool that are reserved and not used yet; released when dropped.
-pub struct BufferReservation {
-    pool: BufferPool,
-    purpose: Purpose,
-    buffers: usize,
-    /// Claim of a large message, whose buffers are reserved in steps.
-    claim: Option<ClaimId>,
-}
-
-impl Drop for BufferReservation {
-    fn drop(&mut self) {
-        if let Some(claim) = self.claim {
-            self.pool.end_claim(claim);
-        }
-        self.pool.uncharge(self.purpose, self.buffers);
-    }
-}
-
-impl BufferReservation {
-    pub(super) fn with_claim(pool: BufferPool, claim: ClaimId) -> Self {
-        Self { pool, purpose: Purpose::LargeMessage, buffers: 0, claim: Some(claim) }
-    }
-
-    pub(super) fn claim(&self) -> Option<ClaimId> {
-        self.claim
-    }
-
-    pub(super) fn pool(&self) -> &BufferPool {
-        &self.pool
-    }
-
-    /// Adds buffers that were charged to the purpose.
-    pub(super) fn add(&mut self, buffers: usize) {
-        self.buffers += buffers;
-    }
-
-    /// Returns the number of reserved buffers that are not used yet.
-    pub fn buffers(&self) -> usize {
-        self.buffers
-    }
-
-    /// Returns what the buffers are reserved for.
-    pub fn purpose(&self) -> Purpose {
-        self.purpose
-    }
-
-    /// Reserves further buffers. Returns false, and reserves nothing, if they do not fit.
-    pub fn try_extend(&mut self, buffers: usize) -> bool {
-        let fits = self.pool.fits(buffers, self.purpose, Arrival::Complete);
-        if fits {
-            self.pool.charge(self.purpose, buffers);
-            self.buffers += buffers;
-        }
-        fits
-    }
-
-    /// Returns all but `bytes` bytes to the pool, if more are reserved.
-    pub fn shrink_to_bytes(&mut self, bytes: usize) {
-        let released = self.buffers.saturating_sub(bytes.div_ceil(BUFFER_BYTES));
-        self.buffers -= released;
-        self.pool.uncharge(self.purpose, released);
-    }
-
-    /// Returns a handle that tells whether others wait for such buffers.
-    pub fn demand(&self) -> Demand {
-        Demand { pool: self.pool.clone(), purpose: self.purpose }
-    }
-}
-
-/// The messages that wait for buffers of one purpose, or of one that competes with it.
-pub struct Demand {
-    pool: BufferPool,
-    purpose: Purpose,
-}
-
-impl Demand {
-    /// Waits until a message waits for a reservation.
-    pub async fn wait(&self) {
-        let is_waiting = |purpose: &Purpose| self.pool.account(*purpose).waiting.get() > 0;
-        loop {
-            let wait_begun = self.pool.0.wait_begun.notified();
-            if self.purpose.competing().iter().any(is_waiting) {
-                return;
-            }
-            wait_begun.await;
-        }
-    }
-}
-
 impl Default for BufferPool {
     /// Creates a pool without a limit.
     fn default() -> Self {
@@ -234,12 +146,12 @@
             released.await;
         }
         self.charge(purpose, buffers);
-        Some(BufferReservation { pool: self.clone(), purpose, buffers, claim: None })
+        Some(BufferReservation::new(self.clone(), purpose, buffers))
     }
 
     /// Reserves buffers without waiting. Returns `None` if they do not fit.
     pub fn try_reserve(&self, buffers: usize, purpose: Purpose) -> Option<BufferReservation> {
-        let mut reservation = BufferReservation { pool: self.clone(), purpose, buffers: 0, claim: None };
+        let mut reservation = BufferReservation::new(self.clone(), purpose, 0);
         reservation.try_extend(buffers).then_some(reservation)
     }
 
@@ -284,10 +196,7 @@
 
     /// Returns a buffer: one of a reservation, if it has one left, else one without a charge.
     pub(super) fn acquire(&self, reservation: Option<&mut BufferReservation>) -> ChargedBuffer {
-        let purpose = reservation.filter(|reservation| reservation.buffers > 0).map(|reservation| {
-            reservation.buffers -= 1;
-            reservation.purpose
-        });
+        let purpose = reservation.and_then(BufferReservation::take_buffer);
         ChargedBuffer { buffer: self.0.arena.borrow_mut().acquire(), purpose }
     }
 
@@ -295,8 +204,8 @@
     pub(super) fn release(&self, buffer: ChargedBuffer, reservation: Option<&mut BufferReservation>) {
         self.0.arena.borrow_mut().release(buffer.buffer);
         let Some(purpose) = buffer.purpose else { return };
-        match reservation.filter(|reservation| reservation.purpose == purpose) {
-            Some(reservation) => reservation.buffers += 1,
+        match reservation.filter(|reservation| reservation.purpose() == purpose) {
+            Some(reservation) => reservation.add(1),
             None => self.uncharge(purpose, 1),
         }
     }
@@ -329,7 +238,7 @@
         reserved.set(reserved.get() + buffers);
     }
 
-    fn uncharge(&self, purpose: Purpose, buffers: usize) {
+    pub(super) fn uncharge(&self, purpose: Purpose, buffers: usize) {
         let reserved = &self.account(purpose).reserved_buffers;
         reserved.set(reserved.get() - buffers);
         if buffers > 0 {
@@ -337,6 +246,16 @@
         }
     }
 
+    /// Returns whether a message waits for a reservation for this purpose.
+    pub(super) fn is_awaited(&self, purpose: Purpose) -> bool {
+        self.account(purpose).waiting.get() > 0
+    }
+
+    /// Returns the notification of messages that begin to wait.
+    pub(super) fn wait_begun(&self) -> &Notify {
+        &self.0.wait_begun
+    }
+
     pub(super) fn notify_waiting(&self) {
         let waiting = self.0.accounts.iter().filter(|account| account.waiting.get() > 0);
         waiting.for_each(|account| account.released.notify_waiters());
@@ -344,7 +263,7 @@
 
     /// Returns whether `buffers` buffers can be reserved now: within the share of their purpose, or a larger share
     /// if there is no other reservation for that purpose, and within the pool.
-    fn fits(&self, buffers: usize, purpose: Purpose, arrival: Arrival) -> bool {
+    pub(super) fn fits(&self, buffers: usize, purpose: Purpose, arrival: Arrival) -> bool {
         let share = match (purpose, arrival) {
             // A very long message never fits into the socket buffer, so that none of them is complete.
             (Purpose::VeryLongMessage, _) | (_, Arrival::Complete) => purpose.max_share(),
--- a/src/net/client/query.rs
+++ b/src/net/client/query.rs
@@ -131,7 +131,7 @@
         let client_request_id = statement.id.clone();
         let request = self.new_request(statement, class, message.bytes.len(), message.received_at);
         self.no_request_guard = None;
-        let query = Query { message: message.bytes, timeout_range, reservation: None };
+        let query = Query { message: message.bytes, timeout_range };
         let (request, mut response) = self.shared.driver.submit(request, query);
         let id_guard =
             self.shared.request_ids.register(client_request_id, self.id, request, self.stream.clone());
--- a/src/net/server/query_result.rs
+++ b/src/net/server/query_result.rs
@@ -13,7 +13,7 @@
 use super::reply::{Reply, REPLY_CONTINUATION_TIMEOUT};
 use super::ServerSide;
 use crate::api::ServerId;
-use crate::net::buffers::{write_all, write_chain, BufferChain, BufferReservation, Purpose};
+use crate::net::buffers::{write_all, write_chain, BufferChain, Purpose};
 use crate::net::postgres;
 
 /// Time without a received byte after which reading the rest of a large result fails.
@@ -27,8 +27,6 @@
     pub message: BufferChain,
     /// Byte range in `message` of the digits of the statement's `d` field, the timeout in milliseconds.
     pub timeout_range: Range<usize>,
-    /// Reservation for the copies of parts of the message that the request keeps; `None` if they are short.
-    pub reservation: Option<BufferReservation>,
 }
 
 impl Query {
--- a/tests/driver.rs
+++ b/tests/driver.rs
@@ -248,7 +248,7 @@
             .map(|_| {
                 let mut message = pool.chain();
                 message.extend(&query("SELECT d=0"));
-                driver.submit(new_request(UNIQUE_WRITE), Query { message, timeout_range: 14..15, reservation: None }).1
+                driver.submit(new_request(UNIQUE_WRITE), Query { message, timeout_range: 14..15 }).1
             })
             .collect();
         for response in responses {
