Share the random numbers of the buffer tests and the setup of the held large writes

Both stood twice, in chain/tests.rs and large_messages/tests.rs, and in two tests of tests/large_statements.rs. No assertion, seed or bound changes; no program code.

--- a/src/net/buffers/chain/tests.rs
+++ b/src/net/buffers/chain/tests.rs
@@ -2,25 +2,13 @@
 
 use rstest::rstest;
 
+use super::super::test_support::Random;
 use super::super::{BufferPool, Purpose, BUFFER_BYTES};
 
 /// Number of operations on a chain for each seed.
 const OPERATIONS: usize = 4000;
 /// Largest number of bytes that an operation appends or removes.
 const MAX_OPERATION_BYTES: u64 = 3 * BUFFER_BYTES as u64;
-/// Constants of the linear congruential generator (Knuth's MMIX).
-const MULTIPLIER: u64 = 6_364_136_223_846_793_005;
-const INCREMENT: u64 = 1_442_695_040_888_963_407;
-
-/// Random numbers of a seed.
-struct Random(u64);
-
-impl Random {
-    fn below(&mut self, bound: usize) -> usize {
-        self.0 = self.0.wrapping_mul(MULTIPLIER).wrapping_add(INCREMENT);
-        ((self.0 >> 33) % bound.max(1) as u64) as usize
-    }
-}
 
 fn content(chain: &super::BufferChain) -> Vec<u8> {
     let mut bytes = Vec::new();
--- a/src/net/buffers/large_messages/tests.rs
+++ b/src/net/buffers/large_messages/tests.rs
@@ -3,6 +3,7 @@
 use super::super::pool::{BufferPool, BUFFER_COST_BYTES};
 use super::super::purpose::Purpose;
 use super::super::reservation::BufferReservation;
+use super::super::test_support::Random;
 use super::STEP_BUFFERS;
 
 /// Number of buffers of the pool under test.
@@ -14,19 +15,6 @@
 const MAX_CONCURRENT: usize = 40;
 /// Largest number of rounds that a sequence may take.
 const MAX_ROUNDS: usize = 20_000;
-/// Constants of the linear congruential generator (Knuth's MMIX).
-const MULTIPLIER: u64 = 6_364_136_223_846_793_005;
-const INCREMENT: u64 = 1_442_695_040_888_963_407;
-
-/// Random numbers of a seed.
-struct Random(u64);
-
-impl Random {
-    fn below(&mut self, bound: usize) -> usize {
-        self.0 = self.0.wrapping_mul(MULTIPLIER).wrapping_add(INCREMENT);
-        ((self.0 >> 33) % bound.max(1) as u64) as usize
-    }
-}
 
 fn pool() -> BufferPool {
     BufferPool::new(POOL_BUFFERS * BUFFER_COST_BYTES)
--- a/src/net/buffers/mod.rs
+++ b/src/net/buffers/mod.rs
@@ -11,6 +11,8 @@
 mod pool;
 mod purpose;
 mod reservation;
+#[cfg(test)]
+mod test_support;
 mod usage;
 mod write;
 
--- a/tests/large_statements.rs
+++ b/tests/large_statements.rs
@@ -145,6 +145,20 @@
 /// Time after which the data server answers them.
 const HOLD_TIME: Duration = Duration::from_millis(800);
 
+const HELD: Writes = Writes {
+    clients: HELD_WRITES,
+    value_bytes: HELD_VALUE_BYTES,
+    timeout_ms: CLASS_DEADLINE_MS,
+    write_time: Duration::ZERO,
+};
+
+/// Starts the held writes, and waits until the data server has received all of them.
+fn start_held_writes(proxy: &Proxy, server: &ScriptedServer) -> Vec<JoinHandle<WriteResult>> {
+    let held = HELD.start(proxy, "held", Duration::ZERO);
+    wait_until("the held writes reach the data server", || server.statement_count() >= HELD_WRITES);
+    held
+}
+
 /// Guards against a wait for memory that does not count against the time of the request: the rest of its statement was
 /// in the client's send buffer, and the data server was told the client's whole time.
 #[test]
@@ -152,15 +166,8 @@
     let _alone = run_alone();
     let (server, gate) = start_gated_server("id=held");
     let proxy = start_proxy_with_limits(LIMITS, &[server.endpoint("a", "read-write", "Ready")]);
-    let write = Writes {
-        clients: HELD_WRITES,
-        value_bytes: HELD_VALUE_BYTES,
-        timeout_ms: CLASS_DEADLINE_MS,
-        ..OTHER
-    };
-    let held = write.start(&proxy, "held", Duration::ZERO);
-    wait_until("the held writes reach the data server", || server.statement_count() >= HELD_WRITES);
-    let waiting = Writes { clients: 1, ..write }.start(&proxy, "waiting", Duration::ZERO);
+    let held = start_held_writes(&proxy, &server);
+    let waiting = Writes { clients: 1, ..HELD }.start(&proxy, "waiting", Duration::ZERO);
     thread::sleep(HOLD_TIME);
     (0..HELD_WRITES).for_each(|_| gate.send(()).expect("the data server runs"));
     let results = join(waiting);
@@ -179,15 +186,8 @@
     let _alone = run_alone();
     let (server, gate) = start_gated_server("id=held");
     let proxy = start_proxy_with_limits(LIMITS, &[server.endpoint("a", "read-write", "Ready")]);
-    let write = Writes {
-        clients: HELD_WRITES,
-        value_bytes: HELD_VALUE_BYTES,
-        timeout_ms: CLASS_DEADLINE_MS,
-        ..OTHER
-    };
-    let held = write.start(&proxy, "held", Duration::ZERO);
-    wait_until("the held writes reach the data server", || server.statement_count() >= HELD_WRITES);
-    let waiting = Writes { clients: 1, timeout_ms: 1260, ..write }.start(&proxy, "waiting", Duration::ZERO);
+    let held = start_held_writes(&proxy, &server);
+    let waiting = Writes { clients: 1, timeout_ms: 1260, ..HELD }.start(&proxy, "waiting", Duration::ZERO);
     let results = join(waiting);
     assert_eq!(results[0].kinds, "EZ");
     assert!(results[0].time < Duration::from_millis(1260), "the rejection came after {:?}", results[0].time);
