Use a data server's connection again after a long row, and its status

Cause: ReadyForQuery that came with CommandComplete was processed early; the reader of the rest waited for it again until its timeout, and then closed the connection and dropped the status. Why it works: process_messages says that the reply is ready however often it is asked. The new test failed before: 6 connections accepted for 6 reads, now 1.

--- a/src/net/server/reply.rs
+++ b/src/net/server/reply.rs
@@ -161,8 +161,12 @@
         !self.bytes.is_empty() || self.discarded_bytes > 0
     }
 
-    /// Processes the messages that are received completely. Returns whether the last one was ReadyForQuery.
+    /// Processes the messages that are received completely. Returns whether ReadyForQuery is among those of this reply
+    /// so far.
     pub(super) async fn process_messages(&mut self) -> io::Result<bool> {
+        if self.is_ready {
+            return Ok(true);
+        }
         self.discard_notice_bytes();
         while let Some(header) = self.next_header()? {
             let start = self.result_bytes;
--- a/testkit/src/scripted_server.rs
+++ b/testkit/src/scripted_server.rs
@@ -107,6 +107,11 @@
         self.statements().len()
     }
 
+    /// Returns the number of connections that the server has accepted since [`Self::close_all`] was last called.
+    pub fn accepted_count(&self) -> usize {
+        self.streams.lock().expect("the lock is not poisoned").len()
+    }
+
     /// Closes all connections to the server.
     pub fn close_all(&self) {
         for stream in self.streams.lock().expect("the lock is not poisoned").drain(..) {
--- a/tests/network.rs
+++ b/tests/network.rs
@@ -3,7 +3,8 @@
 mod support;
 
 use std::io::Read;
-use std::time::Instant;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use pipittack_testkit::scripted_server::{Reply, ScriptedServer, ServerRole};
 use pipittack_testkit::wire::{parameter_status, query, ready_for_query, row, startup};
@@ -53,6 +54,22 @@
     }
 }
 
+/// Guards against a connection that is given up behind each long row, with the status of its server: what followed the
+/// row had arrived with it, and the proxy waited for more (review case 6).
+#[test]
+fn the_connection_to_a_data_server_is_used_again_after_a_long_row() {
+    let value = vec![b'v'; 200_000];
+    let server = ScriptedServer::start(ServerRole::Primary, move |_| Reply::Row(value.clone()));
+    let proxy = start_proxy(&[server.endpoint("a", "read-write", "Ready")]);
+    let mut client = Client::connect(&proxy);
+    for _ in 0..6 {
+        assert_eq!(message_kinds(&client.request(&read_statement(1000))), "TDCZ");
+        // The proxy may receive ReadyForQuery after the client has its answer.
+        thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(server.accepted_count(), 1);
+}
+
 #[test]
 fn queries_pipelined_after_the_startup_packet_are_answered_in_order() {
     let server = ScriptedServer::start(ServerRole::Primary, reply_with_row);
