Believe a server that says behind a long row that it is a replica

Cause: a status that arrives after its attempt has ended went to the engine as a load report, whose position serves as its time, and of which only the role of a primary is believed. Why it works: Event::StatusReported carries role and position with the time at which the attempt was sent, and counts as the status at the end of an attempt does.

--- a/core/src/api/event.rs
+++ b/core/src/api/event.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::attempt::{AttemptEnded, LoadReport};
+use super::attempt::{AttemptEnded, LoadReport, ServerStatus};
 use super::endpoint::EndpointUpdate;
 use super::ids::{AttemptNumber, RequestId, ServerId, TimerId};
 use super::peer_message::PeerMessage;
@@ -35,6 +35,15 @@
         /// Commit position, or an upper bound of it.
         commit: Duration,
     },
+    /// The end of a response arrived after its attempt had ended, with the status of the server.
+    StatusReported {
+        /// Server that sent the status.
+        server: ServerId,
+        /// Status that the server sent.
+        status: ServerStatus,
+        /// Time at which the attempt was sent.
+        sent_at: Duration,
+    },
     /// The first part of a streamed response was forwarded to the client, so the request can no longer be
     /// retried.
     StreamStarted {
--- a/core/src/routing/mod.rs
+++ b/core/src/routing/mod.rs
@@ -46,7 +46,7 @@
 
 use crate::api::{
     Action, Class, Consistency, DiscoveryMode, EndpointUpdate, Event, LoadReport, PeerMessage, RequestId,
-    ServerId, Settings, SettingsError, StateSnapshot,
+    ServerId, ServerStatus, Settings, SettingsError, StateSnapshot,
 };
 use crate::discovery_schedule::DiscoverySchedule;
 use crate::ewma::EwmaConfig;
@@ -63,6 +63,7 @@
 use outlier_detection::OutlierDetector;
 use read_admission::ReadAdmission;
 use retry_budget::RetryBudget;
+use server::StatusReport;
 use tenant_meter::TenantMeters;
 use timer::{Activity, MaintenanceSchedule, StepTimer};
 use view::RoutingView;
@@ -186,6 +187,9 @@
                     open_request.stream_started();
                 }
             }
+            Event::StatusReported { server, status, sent_at } => {
+                self.status_reported(server, status, sent_at)
+            }
             Event::HealthChecked { server, ok, load_report } => self.health_checked(server, ok, load_report),
             Event::SnapshotReceived(snapshot) => {
                 let (cluster, sessions) = (&mut self.cluster, &mut self.sessions);
@@ -247,6 +251,19 @@
         }
     }
 
+    /// Records the status at the end of a response whose attempt had already ended.
+    fn status_reported(&mut self, id: ServerId, status: ServerStatus, sent_at: Duration) {
+        let Some(server) = self.cluster.server_mut(id) else { return };
+        server.health_check_succeeded();
+        let report = StatusReport {
+            valid_at: self.now,
+            sent_at: Some(secs(sent_at)),
+            position: status.position.map(secs),
+            is_primary: status.primary,
+        };
+        self.cluster.record_status(id, report, self.now);
+    }
+
     fn health_checked(&mut self, id: ServerId, ok: bool, load_report: Option<LoadReport>) {
         let Some(server) = self.cluster.server_mut(id) else { return };
         if ok {
--- a/src/net/driver/commands.rs
+++ b/src/net/driver/commands.rs
@@ -40,6 +40,8 @@
     pub server: ServerId,
     /// Query of the request; all attempts of the request share it.
     pub query: Rc<Q>,
+    /// Time at which the driver commanded the attempt, on the proxy's clock.
+    pub sent_at: Duration,
     /// Time at which the attempt times out, unless its result has begun to arrive.
     pub deadline: Instant,
     /// Time at which an attempt times out whose result has begun to arrive: the deadline of its request.
--- a/src/net/driver/servers.rs
+++ b/src/net/driver/servers.rs
@@ -2,20 +2,24 @@
 //! by operators.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::commands::ServerCommand;
 use super::Driver;
 use crate::api::{EndpointUpdate, Event, GroupId, LoadReport, ServerId, ServerStatus};
 
 impl<Q, R> Driver<Q, R> {
-    /// Reports the status that a server sent with the end of a response after the attempt had already ended.
-    /// `None` reports nothing.
-    pub fn status_reported(&self, server: ServerId, status: Option<ServerStatus>) {
-        let Some(status) = status else { return };
+    /// Reports the status that a server sent with the end of a response after the attempt, which was sent at
+    /// `sent_at`, had already ended.
+    pub fn status_reported(&self, server: ServerId, status: ServerStatus, sent_at: Duration) {
+        log::debug!(
+            "status after a response of server {}: primary {:?}, position {:?}",
+            server.0,
+            status.primary,
+            status.position
+        );
         self.0.state.borrow_mut().endpoints.record_status(server, status);
-        let ServerStatus { position, primary } = status;
-        let load_report = LoadReport { position, primary, ..LoadReport::default() };
-        self.health_checked(server, true, Some(load_report));
+        self.queue_event(Event::StatusReported { server, status, sent_at });
     }
 
     /// Reports the result of a health check. `ok` says whether the server passed; `load_report` is `None` if
--- a/src/net/driver/step.rs
+++ b/src/net/driver/step.rs
@@ -181,6 +181,7 @@
             id,
             server,
             query: open.query.clone(),
+            sent_at: now,
             deadline: self.0.clock.to_instant(deadline),
             result_deadline: self.0.clock.to_instant(open.deadline),
             send_deadline: send_deadline.map(|until| self.0.clock.to_instant(until)),
--- a/src/net/server/attempt.rs
+++ b/src/net/server/attempt.rs
@@ -141,7 +141,7 @@
         let is_committed = status.is_some_and(|status| status.position.is_some());
         let uncommitted_session = command.writing_session.clone().filter(|_| !is_committed);
         let remaining =
-            RemainingResult::new(self, command.server, connection, remaining_row_bytes, uncommitted_session);
+            RemainingResult::new(self, command, connection, remaining_row_bytes, uncommitted_session);
         let query_result = reply.into_query_result().with_remaining(remaining);
         AttemptResult { outcome: Outcome::Success, status, load_report, response: Some(query_result) }
     }
--- a/src/net/server/query_result.rs
+++ b/src/net/server/query_result.rs
@@ -14,6 +14,7 @@
 use super::ServerSide;
 use crate::api::ServerId;
 use crate::net::buffers::{write_all, write_chain, BufferChain, Purpose};
+use crate::net::driver::AttemptCommand;
 use crate::net::postgres;
 
 /// Time without a received byte after which reading the rest of a large result fails.
@@ -101,6 +102,8 @@
 pub(super) struct RemainingResult {
     server_side: Rc<ServerSide>,
     server: ServerId,
+    /// Time at which the attempt was sent.
+    sent_at: Duration,
     connection: PooledConnection,
     /// Bytes of the row that are still to be read.
     remaining_row_bytes: usize,
@@ -116,7 +119,7 @@
 impl RemainingResult {
     pub(super) fn new(
         server_side: &Rc<ServerSide>,
-        server: ServerId,
+        command: &AttemptCommand<Query>,
         connection: PooledConnection,
         remaining_row_bytes: usize,
         uncommitted_session: Option<Rc<str>>,
@@ -124,7 +127,8 @@
         let reply = Reply::after_row(&server_side.buffers);
         Self {
             server_side: server_side.clone(),
-            server,
+            server: command.server,
+            sent_at: command.sent_at,
             connection,
             remaining_row_bytes,
             reply,
@@ -199,9 +203,10 @@
                 Ok::<(), io::Error>(())
             };
             if timeout(REPLY_CONTINUATION_TIMEOUT, read_to_end).await.is_ok_and(|end| end.is_ok()) {
-                let Self { server_side, server, connection, reply, .. } = self;
-                let status = reply.status(&server_side.position_clock);
-                server_side.driver.status_reported(server, status);
+                let Self { server_side, server, sent_at, connection, reply, .. } = self;
+                if let Some(status) = reply.status(&server_side.position_clock) {
+                    server_side.driver.status_reported(server, status, sent_at);
+                }
                 if reply.is_connection_reusable() {
                     server_side.connections.release(server, connection);
                 }
--- a/tests/driver.rs
+++ b/tests/driver.rs
@@ -22,10 +22,16 @@
 type TestDriver = Driver<&'static str, &'static str>;
 type TestCommands = UnboundedReceiver<ServerCommand<&'static str>>;
 
+/// Class that [`start_driver`] adds to those of the common settings.
+const LINEARIZABLE_READ: ClassId = ClassId(5);
+
 /// Starts a driver with a cached endpoint list: server 1 is the primary, servers 2 and 3 are replicas.
 fn start_driver(clock: Clock) -> (TestDriver, TestCommands) {
+    let mut settings = settings();
+    let linearizable = Class { consistency: Consistency::Linearizable, ..settings.classes[0].clone() };
+    settings.classes.push(linearizable);
     let DriverParts { driver, server_commands, .. } =
-        DriverParts::new(settings(), 7, clock).expect("the settings are valid");
+        DriverParts::new(settings, 7, clock).expect("the settings are valid");
     driver.endpoints_updated(
         EndpointUpdate::Cached(vec![endpoint(1, true), endpoint(2, false), endpoint(3, false)]),
         [],
@@ -186,6 +192,29 @@
     assert!(at_replica > 0, "expected reads at replicas");
 }
 
+/// Guards against strong reads that go on to a former primary: it says that it is a replica only at the end of a long
+/// row, when the attempt has already ended (review case 6).
+#[test]
+fn no_strong_read_goes_to_a_server_whose_late_status_says_that_it_is_a_replica() {
+    let (driver, mut commands) = start_driver(Clock::start());
+    let (_, _response) = driver.submit(new_request(LINEARIZABLE_READ), "query");
+    driver.step();
+    let attempt = next_attempt(&mut commands).expect("the driver commands an attempt");
+    assert_eq!(attempt.server, ServerId(1), "the listed primary");
+    let without_status =
+        AttemptResult { status: None, ..attempt_result(Outcome::Success, true, driver.clock().now()) };
+    driver.attempt_ended(attempt.id, without_status);
+    let status = ServerStatus { position: Some(driver.clock().now()), primary: Some(false) };
+    driver.status_reported(ServerId(1), status, attempt.sent_at);
+    for _ in 0..10 {
+        let (_, _response) = driver.submit(new_request(LINEARIZABLE_READ), "query");
+        driver.step();
+        let servers: Vec<_> =
+            std::iter::from_fn(|| next_attempt(&mut commands)).map(|attempt| attempt.server).collect();
+        assert!(!servers.contains(&ServerId(1)), "{servers:?}");
+    }
+}
+
 /// Data servers may close idle connections earlier than the settings say; such a connection breaks at its
 /// next query. Connections are not reused after an idle time at which they break often. If connections break
 /// as often after a short idle time, the idle time is not the cause and stays unlimited.
