Keep what a server said of its role when it leaves the endpoint list

Cause: the evidence of a server's role was dropped with its entry in the list. The name of an older test of the tracker no longer said what holds; its assertions stay.

--- a/core/src/failover/mod.rs
+++ b/core/src/failover/mod.rs
@@ -16,6 +16,7 @@
 mod buffer_release;
 mod failover_duration;
 mod failure_detector;
+mod former_members;
 mod phase;
 mod primary_loss;
 mod primary_search;
--- a/core/src/failover/primary_tracker.rs
+++ b/core/src/failover/primary_tracker.rs
@@ -14,6 +14,7 @@
 
 use std::collections::BTreeMap;
 
+use super::former_members::FormerMembers;
 use crate::api::ServerId;
 
 /// Time after which a running server has learned of its deposition, in seconds. The server may then receive
@@ -74,6 +75,9 @@
     epoch: u64,
     claim: Option<PrimaryClaim>,
     evidence: BTreeMap<ServerId, RoleEvidence>,
+    /// Servers whose evidence is kept although they are no members now: the endpoint list may name them
+    /// again, with a role that is older than the evidence.
+    former_members: FormerMembers,
     /// Time of the newest evidence for or against a primary.
     newest_evidence_at: f64,
 }
@@ -230,9 +234,16 @@
         was_primary
     }
 
-    /// Drops the evidence of servers that are no longer members.
-    pub fn retain_members(&mut self, is_member: impl Fn(ServerId) -> bool) {
-        self.evidence.retain(|server, _| is_member(*server));
+    /// Records which servers are members. The evidence of former members is kept within the limits of
+    /// [`FormerMembers`].
+    pub fn retain_members(&mut self, now: f64, is_member: impl Fn(ServerId) -> bool) {
+        for server in self.evidence.keys().copied().filter(|server| !is_member(*server)) {
+            self.former_members.record_leave(server, now);
+        }
+        self.former_members.record_returns(is_member);
+        for forgotten in self.former_members.take_forgotten(now) {
+            self.evidence.remove(&forgotten);
+        }
     }
 
     /// Restores from another process's snapshot that a server was deposed. `at` becomes the time of the
--- a/core/src/failover/primary_tracker/tests.rs
+++ b/core/src/failover/primary_tracker/tests.rs
@@ -112,7 +112,7 @@
 }
 
 #[test]
-fn withdrawing_a_server_clears_its_claim_and_former_members_lose_their_evidence() {
+fn withdrawing_a_server_clears_its_claim() {
     let mut tracker = after_failover();
     assert!(tracker.withdraw(B) && !tracker.withdraw(B));
     assert_eq!(
@@ -120,13 +120,29 @@
         ClaimVerdict::Accepted,
         "there is no other primary"
     );
-    tracker.retain_members(|server| server == A);
+    tracker.retain_members(30.0, |server| server == A);
     assert!(!tracker.is_deposed(B));
     tracker.restore_deposed(C, 30.0);
     tracker.restore_epoch(9);
     assert!(tracker.is_deposed(C) && tracker.epoch() == 9);
 }
 
+/// Guards against an old role in the endpoint list, which beat what a server had said of itself before it
+/// left the list and returned (review case 7).
+#[test]
+fn a_listed_role_beats_the_evidence_of_a_former_member_only_after_its_time() {
+    let mut tracker = PrimaryTracker::default();
+    tracker.record_claim(claim(A, 10.0, Some(9.0)));
+    tracker.record_not_primary(B, 11.0);
+    tracker.withdraw(A);
+    tracker.retain_members(12.0, |server| server == C);
+    tracker.retain_members(20.0, |_| true);
+    assert_eq!(tracker.record_listed(B, 20.0), ClaimVerdict::Stale, "B has said that it is a replica");
+    tracker.retain_members(30.0, |server| server == C);
+    tracker.retain_members(30.0 + 3601.0, |server| server == C);
+    assert_eq!(tracker.record_listed(B, 30.0 + 3602.0), ClaimVerdict::Accepted);
+}
+
 /// The two crossings of a lost primary's last response with the claim of its successor. A response reports
 /// the role at the time when it was written, so it ends a loss by silence, but not the epoch of a successor.
 #[test]
--- a/core/src/failover/replica_set/role_evidence.rs
+++ b/core/src/failover/replica_set/role_evidence.rs
@@ -89,13 +89,12 @@
         }
     }
 
-    /// Drops the evidence of servers that are no longer members. Treats a primary that is not a member as
-    /// removed.
+    /// Records which servers are members. Treats a primary that is not a member as removed.
     pub fn retain_members(&mut self, now: f64, is_member: impl Fn(ServerId) -> bool) {
         if let Some(former_member) = self.primary().filter(|primary| !is_member(*primary)) {
             self.server_removed(former_member, now);
         }
-        self.tracker.retain_members(is_member);
+        self.tracker.retain_members(now, is_member);
     }
 
     /// Records that the current primary responded, possibly after a silence.
