Tell the other process of a hot restart the roles of data servers

Cause: a former primary told the old process its role after the state had been taken for the new one; the channel between the two carried writes, withdrawn servers and ids, but no roles. The new driver test failed without what the peer has told being passed on behind the restored state: a strong read at ServerId(1). Why it works: both tell a role when it is news, before the client gets the response, and keep the last of each server until the older state is restored. Hello and state say who knows such packets; older builds are sent none. tests/handover_format.rs records the longer hello in place of the former one; that one is still read (state/tests.rs).

--- a/core/src/api/peer_message.rs
+++ b/core/src/api/peer_message.rs
@@ -14,6 +14,13 @@
         /// Commit position of the write, in seconds on the engine's clock.
         commit: f64,
     },
+    /// A server told the peer its role.
+    RoleReported {
+        /// Server that reported its role.
+        server: ServerId,
+        /// Whether the server reported that it is the primary.
+        is_primary: bool,
+    },
     /// The endpoint list of the peer shows that a server drains or was removed.
     ServerWithdrawn(ServerId),
     /// `true` if the peer serves but can't be reached, so that its acknowledged writes are unknown here;
--- a/core/src/routing/mod.rs
+++ b/core/src/routing/mod.rs
@@ -248,6 +248,11 @@
             }
             PeerMessage::ProcessPaused(grace) => self.sessions.raise_floor_to(self.now + secs(grace)),
             PeerMessage::ServerWithdrawn(server) => self.cluster.withdraw(server, self.now),
+            PeerMessage::RoleReported { server, is_primary } => {
+                let is_primary = Some(is_primary);
+                let report = StatusReport { valid_at: self.now, sent_at: None, position: None, is_primary };
+                self.cluster.record_status(server, report, self.now);
+            }
         }
     }
 
--- a/src/bootstrap.rs
+++ b/src/bootstrap.rs
@@ -117,7 +117,7 @@
     let LoadedConfig { mut config, settings, connections } = loaded;
     let resources = Resources::reserve(&config)?;
     let state_files = StateFiles::new(options.state_dir.as_deref(), &config);
-    let hello = Hello::new(&config.name).with_request_ids();
+    let hello = Hello::new(&config.name).with_request_ids().with_roles();
     let mut listeners = Listeners::open(&config, options.admin_address, &state_files, &hello).await?;
 
     let server_options = ServerOptions::new(
--- a/src/net/driver/hot_restart.rs
+++ b/src/net/driver/hot_restart.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::peer_link::PeerLink;
+use super::peer_roles::PeerRoles;
 use super::Driver;
 use crate::api::{EndpointState, EndpointUpdate, Event, PeerMessage, ServerId, StateSnapshot};
 
@@ -29,6 +30,10 @@
             state.endpoints.record_role(ServerId(server.server), reported_replica);
         }
         state.events.push(Event::SnapshotReceived(Box::new(snapshot)));
+        for message in state.peer_roles.received() {
+            state.record_peer_message(&message);
+            state.events.push(Event::PeerMessage(message));
+        }
         self.0.event_queued.notify_one();
     }
 
@@ -48,6 +53,7 @@
 
     /// Connects the peer process, which also serves, so that both processes notify each other of changes.
     pub fn connect_peer(&self, link: Rc<dyn PeerLink>) {
+        self.0.state.borrow_mut().peer_roles = PeerRoles::default();
         self.0.peer.connect(link);
         self.request_step();
     }
--- a/src/net/driver/mod.rs
+++ b/src/net/driver/mod.rs
@@ -19,6 +19,7 @@
 mod execution;
 mod hot_restart;
 mod peer_link;
+mod peer_roles;
 mod request;
 mod request_rules;
 mod request_table;
@@ -217,7 +218,7 @@
             }
         }
         if let Some(status) = result.status {
-            self.0.state.borrow_mut().endpoints.record_status(attempt.server, status);
+            self.record_status(attempt.server, status);
         }
         let is_success = result.outcome == Outcome::Success;
         // The peer process must learn of a commit before the client can send a read that depends on it.
--- a/src/net/driver/servers.rs
+++ b/src/net/driver/servers.rs
@@ -6,7 +6,7 @@
 
 use super::commands::ServerCommand;
 use super::Driver;
-use crate::api::{EndpointUpdate, Event, GroupId, LoadReport, ServerId, ServerStatus};
+use crate::api::{EndpointUpdate, Event, GroupId, LoadReport, PeerMessage, ServerId, ServerStatus};
 
 impl<Q, R> Driver<Q, R> {
     /// Reports the status that a server sent with the end of a response after the attempt, which was sent at
@@ -18,10 +18,22 @@
             status.primary,
             status.position
         );
-        self.0.state.borrow_mut().endpoints.record_status(server, status);
+        self.record_status(server, status);
         self.queue_event(Event::StatusReported { server, status, sent_at });
     }
 
+    /// Records a status in the driver's view, and tells the peer process if the role in it is news. The peer must learn
+    /// of it before the client gets the response: its next request may go through the peer.
+    pub(super) fn record_status(&self, server: ServerId, status: ServerStatus) {
+        let mut state = self.0.state.borrow_mut();
+        state.endpoints.record_status(server, status);
+        let (Some(is_primary), Some(peer)) = (status.primary, self.0.peer.link()) else { return };
+        if state.peer_roles.is_news(server, is_primary) {
+            drop(state);
+            peer.send(&PeerMessage::RoleReported { server, is_primary });
+        }
+    }
+
     /// Reports the result of a health check. `ok` says whether the server passed; `load_report` is `None` if
     /// the server sent no load report.
     pub fn health_checked(&self, server: ServerId, ok: bool, load_report: Option<LoadReport>) {
--- a/src/net/driver/step.rs
+++ b/src/net/driver/step.rs
@@ -96,6 +96,7 @@
         for id in &received.executed_ids {
             state.executed_ids.record_peer(id, now);
         }
+        received.messages.iter().for_each(|message| state.record_peer_message(message));
         received.messages
     }
 
--- a/src/net/hot_restart/handover.rs
+++ b/src/net/hot_restart/handover.rs
@@ -17,7 +17,7 @@
 
 use super::error::HandoverError;
 use super::frame::{receive, send, FrameKind};
-use super::peer_channel::{socket_pair, PeerChannel};
+use super::peer_channel::{socket_pair, KnownPackets, PeerChannel};
 use super::socket::wait_until_closed;
 use super::state::{HandoverState, Hello};
 use super::successor::Successor;
@@ -88,7 +88,7 @@
             Ok(stream) => match check_hello(&stream, &hello).await {
                 Ok(successor) => {
                     let stream = Rc::new(stream);
-                    serve_successor(stream, successor.knows_request_ids, &listener, &resources).await;
+                    serve_successor(stream, successor.known_packets(), &listener, &resources).await;
                 }
                 Err(e) => log::warn!("connection to the handover socket rejected: {e}"),
             },
@@ -116,13 +116,13 @@
 /// failed.
 async fn serve_successor(
     stream: Rc<UnixStream>,
-    knows_request_ids: bool,
+    known_packets: KnownPackets,
     listener: &OwnedFd,
     resources: &SharedResources,
 ) {
     log::info!("successor connected");
     let clients = &resources.clients;
-    match negotiate(&stream, knows_request_ids, listener, resources).await {
+    match negotiate(&stream, known_packets, listener, resources).await {
         Ok(SuccessorMode::TakesOver) => {
             clients.set_successor(Some(Successor(stream.clone())));
             wait_until_closed(&stream).await;
@@ -146,7 +146,7 @@
 /// the mode in which the successor serves.
 async fn negotiate(
     stream: &UnixStream,
-    knows_request_ids: bool,
+    known_packets: KnownPackets,
     listener: &OwnedFd,
     resources: &SharedResources,
 ) -> Result<SuccessorMode, HandoverError> {
@@ -155,7 +155,7 @@
         biased;
         // A successor that timed out before this process read its hello has already sent `ServesInParallel`.
         reply = &mut reply => reply,
-        sent = send_handover(stream, knows_request_ids, listener, resources) => {
+        sent = send_handover(stream, known_packets, listener, resources) => {
             sent?;
             reply.await
         }
@@ -182,12 +182,12 @@
 /// state is read without an await in between, so that each later change is sent over the channel.
 async fn send_handover(
     stream: &UnixStream,
-    knows_request_ids: bool,
+    known_packets: KnownPackets,
     listener: &OwnedFd,
     resources: &SharedResources,
 ) -> Result<(), HandoverError> {
     let (local, remote) = socket_pair()?;
-    PeerChannel::connect(&resources.driver, &resources.registry, local, knows_request_ids)?;
+    PeerChannel::connect(&resources.driver, &resources.registry, local, known_packets)?;
     let state = current_state(resources);
     send(stream, FrameKind::Listener, &[], Some(listener.as_fd())).await?;
     send(stream, FrameKind::PeerChannel, &[], Some(remote.as_fd())).await?;
@@ -200,6 +200,7 @@
     let zero_unix_ms = driver.clock().zero_unix_ms();
     HandoverState::new(zero_unix_ms, registry.endpoint_list(), registry.server_names(), driver.snapshot())
         .with_executed_ids(driver.executed_ids())
+        .with_roles()
 }
 
 #[cfg(test)]
--- a/src/net/hot_restart/peer_channel.rs
+++ b/src/net/hot_restart/peer_channel.rs
@@ -58,11 +58,28 @@
         #[serde(rename = "id")]
         client_request_id: String,
     },
+    /// A data server has told its role. Sent only to a peer that knows this packet.
+    #[serde(rename = "role")]
+    RoleReported {
+        #[serde(rename = "uid")]
+        name: String,
+        #[serde(rename = "primary")]
+        is_primary: bool,
+    },
     /// Last packet: the sender has no request in flight and accepts no more requests.
     #[serde(rename = "over")]
     Closed,
 }
 
+/// Packets that a peer can decode beyond those of the first builds with a channel.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct KnownPackets {
+    /// Packets with ids of requests.
+    pub request_ids: bool,
+    /// Packets with roles of data servers.
+    pub roles: bool,
+}
+
 /// This process's end of the channel to the peer.
 pub struct PeerChannel {
     socket: Rc<UnixStream>,
@@ -72,8 +89,8 @@
     registry: SharedEndpointRegistry,
     /// Whether the peer has closed the channel or a read has failed. From then on, no more packets are read.
     closed: Cell<bool>,
-    /// Whether the peer knows packets with ids of requests.
-    peer_knows_request_ids: bool,
+    /// Packets that the peer can decode.
+    known_packets: KnownPackets,
     /// Buffer for one packet.
     buffer: RefCell<Vec<u8>>,
     driver_wake_task: AbortHandle,
@@ -86,8 +103,8 @@
 }
 
 impl PeerChannel {
-    /// Connects the driver to one end of a channel. `peer_knows_request_ids` says whether the peer knows packets
-    /// with ids of requests, which builds before them cannot decode. Must run inside a [`tokio::task::LocalSet`].
+    /// Connects the driver to one end of a channel. `known_packets` says which packets the peer can decode. Must run
+    /// inside a [`tokio::task::LocalSet`].
     ///
     /// # Errors
     ///
@@ -96,7 +113,7 @@
         driver: &PgDriver,
         registry: &SharedEndpointRegistry,
         socket: OwnedFd,
-        peer_knows_request_ids: bool,
+        known_packets: KnownPackets,
     ) -> io::Result<()> {
         // tokio has no type for SEQPACKET sockets. The `UnixStream` only signals readiness; packets are read
         // and written with direct system calls.
@@ -110,7 +127,7 @@
             clock: driver.clock(),
             registry: registry.clone(),
             closed: Cell::new(false),
-            peer_knows_request_ids,
+            known_packets,
             buffer: RefCell::new(vec![0; MAX_PACKET_BYTES]),
             driver_wake_task: driver_wake_task.abort_handle(),
         }));
@@ -152,6 +169,10 @@
                 let server = self.registry.borrow().server_id(&name);
                 received.messages.push(PeerMessage::ServerWithdrawn(server));
             }
+            PeerPacket::RoleReported { name, is_primary } => {
+                let server = self.registry.borrow().server_id(&name);
+                received.messages.push(PeerMessage::RoleReported { server, is_primary });
+            }
             PeerPacket::ExecutedId { client_request_id } => received.executed_ids.push(client_request_id),
             PeerPacket::Closed => self.closed.set(true),
         }
@@ -182,13 +203,20 @@
                     self.send_packet(&PeerPacket::ServerWithdrawn { name: name.to_owned() });
                 }
             }
+            PeerMessage::RoleReported { server, is_primary } if self.known_packets.roles => {
+                if let Some(name) = self.registry.borrow().server_name(*server) {
+                    let name = name.to_owned();
+                    self.send_packet(&PeerPacket::RoleReported { name, is_primary: *is_primary });
+                }
+            }
+            PeerMessage::RoleReported { .. } => {}
             // Not sent: the peer detects both conditions itself.
             PeerMessage::PeerUnreachable(_) | PeerMessage::ProcessPaused(_) => {}
         }
     }
 
     fn send_executed_id(&self, client_request_id: &str) {
-        if self.peer_knows_request_ids {
+        if self.known_packets.request_ids {
             let client_request_id = client_request_id.to_owned();
             self.send_packet(&PeerPacket::ExecutedId { client_request_id });
         }
--- a/src/net/hot_restart/peer_channel/tests.rs
+++ b/src/net/hot_restart/peer_channel/tests.rs
@@ -6,6 +6,7 @@
 const COMMIT: &[u8] = include_bytes!("../../../../tests/fixtures/handover/peer_commit.json");
 const WITHDRAWN: &[u8] = br#"{"withdrawn":{"uid":"store-b"}}"#;
 const EXECUTED: &[u8] = br#"{"executed":{"id":"9b1f"}}"#;
+const ROLE: &[u8] = br#"{"role":{"uid":"store-b","primary":false}}"#;
 const CLOSED: &[u8] = br#""over""#;
 
 fn commit() -> PeerPacket {
@@ -23,14 +24,23 @@
     PeerPacket::ExecutedId { client_request_id: "9b1f".to_owned() }
 }
 
+fn role() -> PeerPacket {
+    PeerPacket::RoleReported { name: "store-b".to_owned(), is_primary: false }
+}
+
 fn decode(bytes: &[u8]) -> Option<PeerPacket> {
     serde_json::from_slice(bytes).ok()
 }
 
 #[test]
 fn recorded_peer_packets_are_decoded_and_encoded_byte_for_byte() {
-    let recorded_packets =
-        [(COMMIT, commit()), (WITHDRAWN, withdrawn()), (EXECUTED, executed()), (CLOSED, PeerPacket::Closed)];
+    let recorded_packets = [
+        (COMMIT, commit()),
+        (WITHDRAWN, withdrawn()),
+        (EXECUTED, executed()),
+        (ROLE, role()),
+        (CLOSED, PeerPacket::Closed),
+    ];
     for (recorded, packet) in recorded_packets {
         let encoded = serde_json::to_vec(&packet).expect("packet is serializable");
         assert_eq!(String::from_utf8_lossy(&encoded), String::from_utf8_lossy(recorded));
--- a/src/net/hot_restart/state.rs
+++ b/src/net/hot_restart/state.rs
@@ -7,6 +7,7 @@
 use pipittack_core::api::StateSnapshot;
 use serde::{Deserialize, Serialize};
 
+use super::peer_channel::KnownPackets;
 use crate::endpoint_list::EndpointList;
 
 /// Version of the handover protocol. A new optional field keeps the version; a changed meaning requires a new
@@ -32,12 +33,15 @@
     /// Whether the sender knows packets with ids of requests on the peer channel.
     #[serde(rename = "executed", default, skip_serializing_if = "std::ops::Not::not")]
     pub(super) knows_request_ids: bool,
+    /// Whether the sender knows packets with roles of data servers on the peer channel.
+    #[serde(rename = "roles", default, skip_serializing_if = "std::ops::Not::not")]
+    pub(super) knows_roles: bool,
 }
 
 impl Hello {
     /// Creates the hello of this build for the proxy instance `name`.
     pub fn new(name: &str) -> Self {
-        Self { version: VERSION, name: name.to_owned(), knows_request_ids: false }
+        Self { version: VERSION, name: name.to_owned(), knows_request_ids: false, knows_roles: false }
     }
 
     /// States that the sender knows packets with ids of requests on the peer channel.
@@ -46,6 +50,17 @@
         Self { knows_request_ids: true, ..self }
     }
 
+    /// States that the sender knows packets with roles of data servers on the peer channel.
+    #[must_use]
+    pub fn with_roles(self) -> Self {
+        Self { knows_roles: true, ..self }
+    }
+
+    /// Returns the packets of the peer channel that the sender can decode.
+    pub(super) fn known_packets(&self) -> KnownPackets {
+        KnownPackets { request_ids: self.knows_request_ids, roles: self.knows_roles }
+    }
+
     /// Returns whether the sender of `other` has the same version and proxy instance.
     pub(super) fn matches(&self, other: &Self) -> bool {
         self.version == other.version && self.name == other.name
@@ -86,6 +101,9 @@
     /// packets with such ids either.
     #[serde(rename = "executed", skip_serializing_if = "Option::is_none")]
     pub executed_ids: Option<Vec<String>>,
+    /// Whether the predecessor knows packets with roles of data servers on the peer channel.
+    #[serde(rename = "roles", skip_serializing_if = "std::ops::Not::not")]
+    pub knows_roles: bool,
 }
 
 impl HandoverState {
@@ -103,6 +121,7 @@
             server_names,
             snapshot,
             executed_ids: None,
+            knows_roles: false,
         }
     }
 
@@ -112,6 +131,17 @@
         Self { executed_ids: Some(ids), ..self }
     }
 
+    /// States that this process knows packets with roles of data servers on the peer channel.
+    #[must_use]
+    pub fn with_roles(self) -> Self {
+        Self { knows_roles: true, ..self }
+    }
+
+    /// Returns the packets of the peer channel that the predecessor can decode.
+    pub(super) fn known_packets(&self) -> KnownPackets {
+        KnownPackets { request_ids: self.executed_ids.is_some(), roles: self.knows_roles }
+    }
+
     pub(super) fn encode(&self) -> Vec<u8> {
         serde_json::to_vec(self).unwrap_or_default()
     }
--- a/src/net/hot_restart/state/tests.rs
+++ b/src/net/hot_restart/state/tests.rs
@@ -5,6 +5,7 @@
 
 use super::{HandoverState, Hello};
 use crate::endpoint_list::{EndpointList, ListedEndpoint};
+use crate::net::hot_restart::peer_channel::KnownPackets;
 use crate::net::hot_restart::test_support::{HELLO, STATE_FULL};
 
 const STATE_EMPTY: &[u8] = include_bytes!("../../../../tests/fixtures/handover/state_empty.json");
@@ -108,6 +109,23 @@
     assert!(HandoverState::decode(br#"{"version":3}"#).is_err());
 }
 
+/// Guards against packets with roles that are sent to a build which cannot decode them, and closes the channel.
+#[test]
+fn the_field_for_roles_is_optional_both_ways() {
+    let with_roles = br#"{"version":2,"name":"gw-a","executed":true,"roles":true}"#;
+    let hello = Hello::new("gw-a").with_request_ids().with_roles();
+    assert_eq!(hello.encode().ok().as_deref(), Some(&with_roles[..]));
+    assert_eq!(hello.known_packets(), KnownPackets { request_ids: true, roles: true });
+    let older = Hello::decode(br#"{"version":2,"name":"gw-a","executed":true}"#).expect("hello is decoded");
+    assert!(older.matches(&hello) && hello.matches(&older));
+    assert_eq!(older.known_packets(), KnownPackets { request_ids: true, roles: false });
+    let state = state().with_executed_ids(Vec::new()).with_roles();
+    let decoded = HandoverState::decode(&state.encode()).expect("state is decoded");
+    assert_eq!(decoded.known_packets(), KnownPackets { request_ids: true, roles: true });
+    let older = HandoverState::decode(STATE_FULL).expect("state is decoded");
+    assert_eq!(older.known_packets(), KnownPackets::default());
+}
+
 #[test]
 fn the_field_for_ids_of_requests_is_optional_both_ways() {
     let with_ids = br#"{"version":2,"name":"gw-a","executed":true}"#;
--- a/src/net/hot_restart/takeover.rs
+++ b/src/net/hot_restart/takeover.rs
@@ -133,11 +133,10 @@
     pub fn connect_peer(&mut self, resources: &SharedResources) {
         let executed_ids = self.state.as_ref().and_then(|state| state.executed_ids.as_deref());
         resources.driver.restore_executed_ids(executed_ids.unwrap_or_default());
-        let knows_request_ids = executed_ids.is_some();
+        let known_packets = self.state.as_ref().map(HandoverState::known_packets).unwrap_or_default();
         let SharedResources { driver, registry, .. } = resources;
         let channel = self.peer_channel.take();
-        let connected =
-            channel.map(|channel| PeerChannel::connect(driver, registry, channel, knows_request_ids));
+        let connected = channel.map(|channel| PeerChannel::connect(driver, registry, channel, known_packets));
         if !matches!(connected, Some(Ok(()))) {
             resources.driver.peer_unreachable();
         }
--- a/tests/driver.rs
+++ b/tests/driver.rs
@@ -215,6 +215,69 @@
     }
 }
 
+/// Peer process that has sent these messages, each of which is received once.
+struct TellingPeer(RefCell<Vec<PeerMessage>>);
+
+impl PeerLink for TellingPeer {
+    fn send(&self, _: &PeerMessage) {}
+
+    fn close(&self) {}
+
+    fn send_executed_id(&self, _: &str) {}
+
+    fn receive(&self) -> ReceivedFromPeer {
+        ReceivedFromPeer { messages: self.0.take(), ..ReceivedFromPeer::default() }
+    }
+}
+
+/// Guards against a successor that sends strong reads to a former primary: the server told the predecessor its role after
+/// the state was taken, and before it is restored (review case 9).
+#[test]
+fn a_successor_believes_what_a_server_has_told_its_predecessor_since_the_state_was_taken() {
+    let clock = Clock::start();
+    let (predecessor, mut commands) = start_driver(clock);
+    let (_, _response) = predecessor.submit(new_request(KEYED_WRITE), "query");
+    predecessor.step();
+    let attempt = next_attempt(&mut commands).expect("the driver commands an attempt");
+    predecessor.attempt_ended(attempt.id, attempt_result(Outcome::Success, true, clock.now()));
+    let state = predecessor.snapshot();
+
+    let (successor, mut commands) = start_driver(clock);
+    let told = PeerMessage::RoleReported { server: ServerId(1), is_primary: false };
+    successor.connect_peer(Rc::new(TellingPeer(RefCell::new(vec![told]))));
+    successor.step();
+    successor.restore(state, clock.zero_unix_ms());
+    successor.step();
+    for _ in 0..10 {
+        let (_, _response) = successor.submit(new_request(LINEARIZABLE_READ), "query");
+        successor.step();
+        let servers: Vec<_> =
+            std::iter::from_fn(|| next_attempt(&mut commands)).map(|attempt| attempt.server).collect();
+        assert!(!servers.contains(&ServerId(1)), "{servers:?}");
+    }
+}
+
+/// Guards against a client that reads through the other process of a hot restart before that knows of the role which the
+/// client's last response has shown.
+#[test]
+fn the_peer_is_told_each_change_of_a_role_before_the_client_gets_the_response() {
+    let (driver, mut commands) = start_driver(Clock::start());
+    let peer = Rc::new(RecordingPeer::default());
+    driver.connect_peer(peer.clone());
+    for (outcome, is_primary) in
+        [(Outcome::Success, true), (Outcome::Success, true), (Outcome::Misdirected, false)]
+    {
+        let (_, mut response) = driver.submit(new_request(KEYED_WRITE), "query");
+        driver.step();
+        let attempt = next_attempt(&mut commands).expect("the driver commands an attempt");
+        driver.attempt_ended(attempt.id, attempt_result(outcome, is_primary, driver.clock().now()));
+        assert_eq!(response.try_recv().is_ok(), outcome == Outcome::Success);
+        let last = PeerMessage::RoleReported { server: ServerId(1), is_primary };
+        assert_eq!(peer.0.borrow().last(), Some(&last));
+    }
+    assert_eq!(peer.0.borrow().len(), 2, "{:?}", peer.0.borrow());
+}
+
 /// Data servers may close idle connections earlier than the settings say; such a connection breaks at its
 /// next query. Connections are not reused after an idle time at which they break often. If connections break
 /// as often after a short idle time, the idle time is not the cause and stays unlimited.
--- a/tests/handover_format.rs
+++ b/tests/handover_format.rs
@@ -29,12 +29,12 @@
 
 /// Size in bytes of a frame header: kind, length and checksum.
 const HEADER_BYTES: usize = 9;
-/// Frame with the hello of a successor. Builds since it was recorded send [`HELLO_WITH_REQUEST_IDS`].
+/// Frame with the hello of a successor. Builds since it was recorded send [`HELLO_WITH_ROLES`].
 const HELLO: &[u8] = b"G\0\0\0\x19\xc9\x70\x14\xea{\"version\":2,\"name\":\"n0\"}";
-/// Frame with the hello of a successor that knows ids of requests on the peer channel. Older predecessors ignore
-/// its last field.
-const HELLO_WITH_REQUEST_IDS: &[u8] =
-    b"G\0\0\0\x29\x1c\x27\x25\x0a{\"version\":2,\"name\":\"n0\",\"executed\":true}";
+/// Frame with the hello of a successor that knows ids of requests and roles on the peer channel. Older predecessors
+/// ignore its last fields.
+const HELLO_WITH_ROLES: &[u8] =
+    b"G\0\0\0\x36\xee\xa4\x72\x66{\"version\":2,\"name\":\"n0\",\"executed\":true,\"roles\":true}";
 
 /// Asserts that the recorded bytes are read as `value`, and that `value` is written as the recorded bytes.
 fn assert_recorded<T: Serialize + DeserializeOwned + PartialEq + Debug>(recorded: &str, value: &T) {
@@ -325,7 +325,7 @@
 }
 
 #[rstest]
-#[case::current("2.sock", HELLO_WITH_REQUEST_IDS)]
+#[case::current("2.sock", HELLO_WITH_ROLES)]
 #[case::legacy("sock", b"")]
 fn predecessor_is_contacted_at_the_recorded_socket(#[case] suffix: &str, #[case] hello: &[u8]) {
     let state_dir = create_state_dir(&format!("hello-{suffix}"));
