Take over at once from a predecessor that ends before its successor is ready

Cause: the new process holds the listener and waits for discovery before it accepts; that the connection to the old one had closed was not looked at. Why it works: the wait also ends when the predecessor closes its connection; the list that it handed over serves.

--- a/src/components.rs
+++ b/src/components.rs
@@ -176,14 +176,23 @@
     }
 
     /// Waits for an update from discovery while the predecessor still serves, until `ready_by` at the latest.
-    /// Then takes over from the predecessor.
+    /// Then takes over from the predecessor. Takes over at once if the predecessor ends before: its clients connect
+    /// to the listener that this process has received, and nobody else accepts them.
     async fn take_over(self, mut predecessor: Predecessor) {
-        let Self { admin, shared, ready_by } = self;
-        predecessor.connect_peer(&shared);
-        let _ = timeout_at(ready_by, admin.wait_for_endpoints()).await;
-        predecessor.take_over(&shared).await;
-        admin.ready.set(true);
+        predecessor.connect_peer(&self.shared);
+        let predecessor_serves = tokio::select! {
+            _ = timeout_at(self.ready_by, self.admin.wait_for_endpoints()) => true,
+            () = predecessor.wait_until_ended() => false,
+        };
+        predecessor.take_over(&self.shared).await;
+        let shared = self.shared.clone();
         spawn_local(async move { predecessor.receive_clients(&shared).await });
+        if predecessor_serves {
+            self.admin.ready.set(true);
+        } else {
+            log::warn!("the predecessor ended before the first list of data servers arrived");
+            self.spawn_readiness_task();
+        }
     }
 
     /// Spawns a task that reports the process ready after an update from discovery, or at `ready_by`.
--- a/src/net/hot_restart/takeover.rs
+++ b/src/net/hot_restart/takeover.rs
@@ -16,6 +16,7 @@
 use super::legacy;
 use super::peer_channel::PeerChannel;
 use super::shared_resources::SharedResources;
+use super::socket::wait_until_closed;
 use super::state::{HandoverState, Hello};
 
 /// Time limit for receiving the listener and the state. The predecessor may be paused for a while, but this
@@ -142,6 +143,15 @@
         }
     }
 
+    /// Waits until the predecessor closes the connection, because it has ended. Does not return for a build before
+    /// 0.2, which may send clients at any time. Must not be called after [`Self::take_over`].
+    pub async fn wait_until_ended(&self) {
+        match self.protocol {
+            Protocol::Current => wait_until_closed(&self.stream).await,
+            Protocol::Legacy { .. } => std::future::pending().await,
+        }
+    }
+
     /// Restores the predecessor's state, has the predecessor stop accepting clients, and sets the client
     /// limit of this process. The caller may accept clients after this returns. From the start of this call until
     /// the connection to the predecessor closes, the two processes share their resources.
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -4,6 +4,8 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::thread;
+use std::time::{Duration, Instant};
 
 use pipittack_testkit::scripted_discovery::list_change;
 use pipittack_testkit::scripted_server::{Reply, ScriptedServer, ServerRole};
@@ -215,6 +217,29 @@
 }
 
 /// A hot restart must not close any client connection, not even an idle one.
+/// Guards against clients that nobody answers: the predecessor of a hot restart is killed while its successor waits for
+/// discovery, and the listener stays open (review case 10).
+#[test]
+fn a_successor_serves_at_once_if_its_predecessor_is_killed() {
+    let server = ScriptedServer::start(ServerRole::Primary, reply_with_row);
+    let endpoints = [server.endpoint("a", "read-write", "Ready")];
+    let state_dir = create_state_dir("killed-predecessor");
+    let predecessor = start_proxy_with_config(EXAMPLE_CONFIG, &endpoints, Some(&state_dir));
+    let address = predecessor.address;
+    let silent_discovery = ManualDiscovery::start();
+    let discovery = silent_discovery.address();
+    let successor =
+        thread::spawn(move || start_successor_with_discovery_at(&endpoints, &state_dir, discovery));
+    predecessor.wait_for_log("successor connected");
+    thread::sleep(Duration::from_millis(100)); // the successor has the listener and the state
+    drop(predecessor);
+    let started = Instant::now();
+    let response = Client::connect_to(address).request(&read_statement(500));
+    assert_eq!(message_kinds(&response), "TDCZ");
+    assert!(started.elapsed() < Duration::from_millis(500), "{:?}", started.elapsed());
+    drop(successor.join().expect("the successor starts"));
+}
+
 #[test]
 fn a_hot_restart_hands_over_the_listener_and_the_clients() {
     let server = start_server_with_marked_reply("id=9", || Reply::NoResponse);
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -29,7 +29,8 @@
 pub use proxy::{
     admin_post, admin_request, config_with_extended_connect_timeout, config_with_limits, is_ready,
     send_signal, serve_command, start_proxy, start_proxy_with_config, start_proxy_with_discovery_at,
-    start_proxy_with_environment, start_proxy_with_limits, ChildGuard, ProcessLimits, Proxy, EXAMPLE_CONFIG,
+    start_proxy_with_environment, start_proxy_with_limits, start_successor_with_discovery_at, ChildGuard,
+    ProcessLimits, Proxy, EXAMPLE_CONFIG,
 };
 pub use servers::{reply_with_row, start_gated_server, start_server_with_marked_reply};
 pub use statements::{read_statement, read_statement_with_id, write_statement, write_statement_with_id};
--- a/tests/support/proxy.rs
+++ b/tests/support/proxy.rs
@@ -159,6 +159,17 @@
     spawn_proxy(config, endpoints, None, ScriptedDiscovery::start(full_list(1, endpoints)), address, &[])
 }
 
+/// Starts a successor of the proxy with the example configuration and this state directory. Its discovery service is
+/// at `discovery`, and the test runs it itself.
+pub fn start_successor_with_discovery_at(
+    endpoints: &[String],
+    state_dir: &Path,
+    discovery: SocketAddr,
+) -> Proxy {
+    let unused = ScriptedDiscovery::start(full_list(1, endpoints));
+    spawn_proxy(EXAMPLE_CONFIG, endpoints, Some(state_dir), unused, discovery, &[])
+}
+
 fn spawn_proxy(
     config: &str,
     endpoints: &[String],
