Pass on long results that data servers still send at the end of a shutdown

Cause: a shutdown ended at its deadline whatever it passed on; how long a row takes is up to the data server. Why it works: open long results are counted, and the process stays for them, 30 s at most, after all else has ended. A SIGKILL that comes first cuts them off as before.

--- a/core/src/graceful_shutdown.rs
+++ b/core/src/graceful_shutdown.rs
@@ -6,7 +6,8 @@
 //!
 //! - The shutdown never delays a response.
 //! - A connection from which any part of a request was read is closed only after that request was answered.
-//! - The process ends before the platform kills it.
+//! - The process ends before the platform kills it, unless a data server still sends a long result. The
+//!   caller passes such results on after the deadline.
 //!
 //! Closing an idle connection is a race with the client: a request that arrives while its connection closes
 //! is lost, and the client repeats it once, on a new connection. Connections are therefore closed first, and
--- a/src/net/client/query.rs
+++ b/src/net/client/query.rs
@@ -13,6 +13,7 @@
 use super::request_ids::IdStatus;
 use super::responses::WRITE_TIMEOUT;
 use super::service_phase::ServicePhase;
+use super::shared::StreamGuard;
 use crate::api::{Consistency, GroupId};
 use crate::net::buffers::{write_chain, BufferReservation, Purpose};
 use crate::net::driver::{NewRequest, Repeat, Response};
@@ -220,6 +221,7 @@
         if is_complete {
             return Ok(Flow::Continue);
         }
+        let _stream = StreamGuard::new(self.shared);
         boxed(|| self.stream_rest(result)).await?;
         self.write(&ready).await?;
         Ok(Flow::Continue)
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -46,6 +46,8 @@
     /// newer process assumes that this process runs until the connection of this handle closes.
     pub parallel_successor: RefCell<Option<Successor>>,
     pub shutdown: RefCell<Option<GracefulShutdown>>,
+    /// Number of long results that data servers still send.
+    pub open_streams: Cell<usize>,
     /// Notified of events that may advance a graceful shutdown.
     pub shutdown_notify: Notify,
     sockets: SocketShare,
@@ -63,6 +65,23 @@
     memory_waits: LogLimit,
 }
 
+/// Counts a long result among those that data servers still send, until it is dropped.
+pub(super) struct StreamGuard<'a>(&'a Shared);
+
+impl<'a> StreamGuard<'a> {
+    pub(super) fn new(shared: &'a Shared) -> Self {
+        shared.open_streams.set(shared.open_streams.get() + 1);
+        Self(shared)
+    }
+}
+
+impl Drop for StreamGuard<'_> {
+    fn drop(&mut self) {
+        self.0.open_streams.set(self.0.open_streams.get() - 1);
+        self.0.shutdown_notify.notify_waiters();
+    }
+}
+
 impl Shared {
     pub(super) fn new(driver: PgDriver, options: ClientOptions, pool: BufferPool) -> Self {
         let ClientOptions { max_clients, reserved_clients, sockets, classes } = options;
@@ -81,6 +100,7 @@
             successor: RefCell::default(),
             parallel_successor: RefCell::default(),
             shutdown: RefCell::default(),
+            open_streams: Cell::new(0),
             shutdown_notify: Notify::new(),
             sockets: SocketShare::new(max_clients, reserved_clients, sockets),
             rejections: LogLimit::default(),
--- a/src/net/client/shutdown.rs
+++ b/src/net/client/shutdown.rs
@@ -11,6 +11,9 @@
 /// Time after the drain deadline in which the remaining clients are sent an error.
 const FINAL_ERRORS_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// Longest time after the drain deadline for which the process passes on long results that data servers still send.
+const MAX_STREAM_PERIOD: Duration = Duration::from_secs(30);
+
 /// Phase of a graceful shutdown, and the time at which it changes next if no other event occurs.
 struct ShutdownProgress {
     phase: ShutdownPhase,
@@ -19,7 +22,8 @@
 
 impl ClientService {
     /// Drains all clients. Returns when every request has its response, or at the drain deadline; requests
-    /// that are still in flight then end with an error.
+    /// that are still in flight then end with an error. Long results that data servers still send at the deadline are
+    /// passed on to their end, unless the process is killed before.
     pub async fn shut_down(&self) {
         let shared = &*self.0;
         let clock = shared.driver.clock();
@@ -51,6 +55,27 @@
         let _ = timeout_at(deadline, self.all_disconnected()).await;
         shared.phase.advance(ServicePhase::DrainEnded);
         let _ = timeout(FINAL_ERRORS_TIMEOUT, self.all_disconnected()).await;
+        self.pass_on_open_streams().await;
+    }
+
+    async fn pass_on_open_streams(&self) {
+        let open_streams = self.0.open_streams.get();
+        if open_streams == 0 {
+            return;
+        }
+        log::warn!("graceful shutdown waits for {open_streams} long results that data servers still send");
+        let _ = timeout(MAX_STREAM_PERIOD, self.all_streams_ended()).await;
+        let _ = timeout(FINAL_ERRORS_TIMEOUT, self.all_disconnected()).await;
+    }
+
+    async fn all_streams_ended(&self) {
+        loop {
+            let changed = self.0.shutdown_notify.notified();
+            if self.0.open_streams.get() == 0 {
+                return;
+            }
+            changed.await;
+        }
     }
 
     fn shutdown_progress(&self) -> ShutdownProgress {
--- a/tests/graceful_shutdown.rs
+++ b/tests/graceful_shutdown.rs
@@ -3,11 +3,11 @@
 mod support;
 
 use std::io::Write;
-use std::thread::sleep;
+use std::thread::{self, sleep};
 use std::time::{Duration, Instant};
 
 use pipittack_testkit::scripted_server::{Reply, ScriptedServer, ServerRole};
-use pipittack_testkit::wire::query;
+use pipittack_testkit::wire::{query, read_message, ready_for_query, row, startup_response};
 use rstest::rstest;
 use support::*;
 
@@ -45,6 +45,38 @@
     assert!(time < MAX_TIME_TO_EXIT, "exit took {time:?}, expected less than {MAX_TIME_TO_EXIT:?}");
 }
 
+/// Guards against a process that ends by itself while a data server still sends a long value (trial restart-value of the
+/// second review).
+#[test]
+fn a_long_value_that_outlasts_the_shutdown_is_passed_on_to_its_end() {
+    const VALUE_BYTES: usize = 1_000_000;
+    const PIECE_BYTES: usize = 10_000;
+    // The value takes 5.5 s, and the drain deadline is 3.6 s after the signal.
+    const PIECE_INTERVAL: Duration = Duration::from_millis(55);
+    let server = DelayedServer::start();
+    let mut proxy = start_proxy(&[server.endpoint("a", "read-write")]);
+    let sender = thread::spawn(move || {
+        let mut stream = server.accept();
+        stream.write_all(&startup_response()).expect("the proxy keeps the connection open");
+        read_message(&mut stream).expect("the proxy sends a statement");
+        let answer = [row(&vec![b'v'; VALUE_BYTES]), ready_for_query()].concat();
+        for piece in answer.chunks(PIECE_BYTES) {
+            stream.write_all(piece).expect("the proxy reads the whole answer");
+            sleep(PIECE_INTERVAL);
+        }
+    });
+    let mut client = Client::connect(&proxy);
+    client.send(&query(&read_statement(1500)));
+    sleep(PIECE_INTERVAL * 5);
+    proxy.signal("TERM");
+    let response = client.read_response();
+    assert_eq!(message_kinds(&response), "TDCZ");
+    assert!(response.iter().any(|message| message.1.len() > VALUE_BYTES), "expected the complete value");
+    let answered_at = Instant::now();
+    assert!(time_to_exit(&mut proxy, answered_at) < Duration::from_millis(500));
+    sender.join().expect("the server has sent its answer");
+}
+
 /// Returns a write with an id of its own and a value of this many bytes.
 fn numbered_write(number: usize, value_bytes: usize) -> String {
     let value = format!(r"'\x{}'", "00".repeat(value_bytes));
