Send clients away that are never idle while the process is out of service

Cause: out of service, a connection was closed only while it was idle. Why it works: from 1.2 s out of service on a connection serves what it has received; what follows gets 57P03.

--- a/src/net/client/connection.rs
+++ b/src/net/client/connection.rs
@@ -144,6 +144,7 @@
             no_request_guard,
             may_be_handed_over: false,
             eviction,
+            remaining_requests: None,
             short_deadline,
         };
         let result = connection.serve().await;
@@ -179,6 +180,9 @@
     may_be_handed_over: bool,
     /// Notified when the connection table evicts this connection.
     eviction: Rc<Notify>,
+    /// Number of requests that this connection still serves before its client is sent away; `None` while there is no
+    /// limit.
+    remaining_requests: Option<usize>,
     /// Whether the first request must arrive within [`SHORT_FIRST_REQUEST_TIMEOUT`].
     short_deadline: bool,
 }
@@ -228,7 +232,10 @@
                 self.reply(postgres::push_ready_for_query).await
             }
             _ if *ignores_until_sync => Ok(Flow::Continue),
-            b'Q' => boxed(|| self.handle_query(message)).await,
+            b'Q' => {
+                self.remaining_requests = self.remaining_requests.map(|count| count.saturating_sub(1));
+                boxed(|| self.handle_query(message)).await
+            }
             b'P' | b'B' | b'D' | b'E' | b'C' | b'H' => {
                 *ignores_until_sync = true;
                 self.reply_error("0A000", "only simple queries are supported").await
@@ -321,7 +328,7 @@
         let mut is_long = false;
         self.inbound.drop_reservation();
         loop {
-            if self.shared.requests_have_ended(&mut self.inbound) {
+            if self.shared.requests_have_ended(&mut self.inbound) || self.served_last_request() {
                 return Ok(NextMessage::RequestsEnded);
             }
             if self.inbound.overflow().is_some() {
@@ -360,6 +367,18 @@
         }
     }
 
+    /// Returns whether the client is to be sent away, and the requests that had been received when that began have been
+    /// served.
+    fn served_last_request(&mut self) -> bool {
+        if !self.shared.sends_busy_clients_away() {
+            self.remaining_requests = None;
+            return false;
+        }
+        let is_within_message = !self.inbound.bytes().is_empty();
+        let received = self.inbound.waiting_queries() + usize::from(is_within_message);
+        *self.remaining_requests.get_or_insert(received) == 0
+    }
+
     fn idle_reason(&self) -> IdleReason {
         if self.no_request_guard.is_none() {
             IdleReason::BetweenRequests
--- a/src/net/client/final_rejections.rs
+++ b/src/net/client/final_rejections.rs
@@ -1,4 +1,5 @@
-//! The end of a client connection at the end of a graceful shutdown.
+//! The end of a client connection at the end of a graceful shutdown, and of one that is never idle while the process
+//! is out of service.
 //!
 //! The time limit of each request ends before the process does. From then on a connection task serves no further
 //! request. It rejects the requests that the process has received and not served, in order and without the
@@ -11,7 +12,7 @@
 use pipittack_core::graceful_shutdown::{IdleState, REJECTION_INTERVAL};
 use tokio::time::sleep;
 
-use super::connection::{Connection, Flow};
+use super::connection::{Connection, Flow, MESSAGE_TIMEOUT};
 use super::message_discarder::{InvalidLength, MessageDiscarder};
 use super::rejections::{Rejection, Rejections};
 use super::service_phase::ServicePhase;
@@ -21,6 +22,8 @@
 
 /// Error for the requests that are received at the end of a graceful shutdown.
 const REJECTION: Rejection = Rejection { code: "57P03", text: SHUTTING_DOWN };
+/// Error for the requests of a client that is sent away because the process is out of service.
+const OUT_OF_SERVICE_REJECTION: Rejection = Rejection { code: "57P03", text: "the proxy is out of service" };
 
 /// Responses to the messages that were received, and what follows them.
 struct FinalRejections {
@@ -78,7 +81,9 @@
         discarder: &mut MessageDiscarder,
         only_first: bool,
     ) -> FinalRejections {
-        let mut responses = Rejections::new(REJECTION);
+        let is_out_of_service = self.shared.phase.out_of_service_since().is_some();
+        let mut responses =
+            Rejections::new(if is_out_of_service { OUT_OF_SERVICE_REJECTION } else { REJECTION });
         loop {
             match self.inbound.discard_message(discarder).await {
                 Ok(Some(kind)) => responses.reject(kind),
@@ -97,11 +102,13 @@
         if may_close && !self.inbound.has_unread_bytes() {
             return Ok(false);
         }
+        let is_out_of_service = self.shared.phase.out_of_service_since().is_some();
         let mut phase = self.shared.phase.subscribe();
         tokio::select! {
             biased;
             read = self.inbound.read() => return Ok(read? > 0),
             _ = phase.wait_for(|phase| *phase == ServicePhase::DrainEnded) => {}
+            () = sleep(MESSAGE_TIMEOUT), if is_out_of_service => {}
         }
         if is_partial {
             self.fail_connection("57P01", SHUTTING_DOWN).await?;
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -65,6 +65,9 @@
     memory_waits: LogLimit,
 }
 
+/// Time out of service after which a connection that is never idle serves only the requests that it has received.
+const MAX_BUSY_PERIOD: Duration = Duration::from_millis(1200);
+
 /// Counts a long result among those that data servers still send, until it is dropped.
 pub(super) struct StreamGuard<'a>(&'a Shared);
 
@@ -163,6 +166,13 @@
         self.driver.clock().now() >= shutdown.requests_end_at(inbound.waiting_queries())
     }
 
+    /// Returns whether connections serve only what they have received, because the process has been out of service
+    /// for long enough that a client which is never idle has to be sent away.
+    pub(super) fn sends_busy_clients_away(&self) -> bool {
+        let since = self.phase.out_of_service_since();
+        since.is_some_and(|since| since.elapsed() >= MAX_BUSY_PERIOD)
+    }
+
     /// Returns whether a graceful shutdown still spreads the rejections of requests that it does not serve.
     pub(super) fn spreads_rejections(&self) -> bool {
         let now = self.driver.clock().now();
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -217,6 +217,37 @@
 }
 
 /// A hot restart must not close any client connection, not even an idle one.
+/// Guards against a client that is never sent away, since it always has several requests out (trial out-of-service of the
+/// second review).
+#[test]
+fn an_instance_out_of_service_sends_away_a_client_that_is_never_idle() {
+    const REQUESTS_OUT: usize = 4;
+    const MAX_TIME: Duration = Duration::from_secs(4);
+    let server = ScriptedServer::start(ServerRole::Primary, |_| {
+        thread::sleep(Duration::from_millis(5));
+        Reply::Row(b"v".to_vec())
+    });
+    let proxy = start_proxy(&[server.endpoint("a", "read-write", "Ready")]);
+    let mut client = Client::connect(&proxy);
+    let mut ids = (0..).map(|number| query(&read_statement_with_id(&format!("r{number}"), 1000)));
+    (0..REQUESTS_OUT).for_each(|_| client.send(&ids.next().expect("ids never end")));
+    assert_eq!(admin_post(&proxy, "out-of-service"), Some(200));
+    let called_at = Instant::now();
+    let (mut served, mut rejected) = (0, 0);
+    loop {
+        let response = client.read_response();
+        match message_kinds(&response).as_str() {
+            "TDCZ" => served += 1,
+            "EZ" => rejected += 1,
+            _ => break,
+        }
+        assert!(called_at.elapsed() < MAX_TIME, "{served} served, {rejected} rejected");
+        // The connection may be closed by now.
+        let _ = client.stream.write_all(&ids.next().expect("ids never end"));
+    }
+    assert!(served > 100, "{served} served, {rejected} rejected");
+}
+
 /// Guards against clients that nobody answers: the predecessor of a hot restart is killed while its successor waits for
 /// discovery, and the listener stays open (review case 10).
 #[test]
