--- a/src/net/server/reply.rs
+++ b/src/net/server/reply.rs
@@ -7,6 +7,8 @@
 //! A message that needs more than one buffer is received in buffers that are reserved for it. A row that gets none is
 //! passed on as it arrives, like a large one.
 
+mod evaluation;
+
 use std::io;
 use std::ops::Range;
 use std::time::Duration;
@@ -14,12 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use super::load_report;
-use super::position_clock::PositionClock;
-use super::query_result::QueryResult;
-use crate::api::{LoadReport, Outcome, ServerStatus};
 use crate::net::buffers::{BufferChain, BufferPool, Purpose};
-use crate::net::driver::AttemptResult;
 use crate::net::postgres::{self, MessageHeader};
 use crate::net::turn::{charge, Work};
 
@@ -376,57 +373,4 @@
         let range = self.result_messages.get(RESULT_MESSAGES - 1)?;
         Some(self.bytes.slices(range.clone()))
     }
-
-    /// Returns whether the reply contains a complete query result and no error.
-    pub(super) fn is_complete_result(&self) -> bool {
-        self.result_messages.len() == RESULT_MESSAGES && self.sqlstate.is_none()
-    }
-
-    /// Returns whether the connection can be reused: ReadyForQuery was received and no byte follows it.
-    /// Left-over bytes would become the start of the next reply.
-    pub(super) fn is_connection_reusable(&self) -> bool {
-        self.is_ready && self.bytes.len() == self.result_bytes
-    }
-
-    /// Returns the query result: all of it, or the received part of a large one.
-    pub(super) fn into_query_result(mut self) -> QueryResult {
-        self.bytes.truncate(self.result_bytes);
-        self.bytes.drop_reservation();
-        QueryResult::new(self.bytes)
-    }
-
-    /// Returns the attempt's result.
-    pub(super) fn into_result(self, clock: &PositionClock) -> AttemptResult<QueryResult> {
-        let outcome = match self.sqlstate.as_ref() {
-            None if self.is_complete_result() => Outcome::Success,
-            Some(b"25006" | b"72000") => Outcome::Misdirected,
-            Some(b"53300") => Outcome::Rejected,
-            _ => Outcome::ServerError,
-        };
-        let status = self.status(clock);
-        let load_report = self.load_report(clock);
-        let response = (outcome == Outcome::Success).then(|| self.into_query_result());
-        AttemptResult { outcome, status, load_report, response }
-    }
-
-    /// Returns the server status that the reply contains; `None` if it contains none.
-    pub(super) fn status(&self, clock: &PositionClock) -> Option<ServerStatus> {
-        let position = self.position_unix_ms.and_then(|ms| clock.position_from_unix_ms(ms));
-        let has_status = position.is_some() || self.primary.is_some();
-        has_status.then_some(ServerStatus { position, primary: self.primary })
-    }
-
-    /// Parses the load report in the ParameterStatus messages. Returns `None` if there is none.
-    pub(super) fn load_report(&self, clock: &PositionClock) -> Option<LoadReport> {
-        self.load_report.as_deref().map(|text| load_report::parse(text, clock))
-    }
-
-    /// Parses the load report in the row of a health check's reply. Returns `None` if there is none.
-    pub(super) fn health_check_load_report(&self, clock: &PositionClock) -> Option<LoadReport> {
-        let mut row = Vec::new();
-        let range = self.result_messages.get(1)?;
-        self.bytes.copy(range.start + HEADER_BYTES..range.end, &mut row);
-        let text = std::str::from_utf8(postgres::parse_single_column(&row)?).ok()?;
-        text.contains('=').then(|| load_report::parse(text, clock))
-    }
 }
