Check the primary against each server's last word over random sequences of evidence

2,000 sequences of 60 steps: claims, reports of replicas, listed roles, losses, and servers that leave the list and return.

--- a/core/src/failover/primary_tracker.rs
+++ b/core/src/failover/primary_tracker.rs
@@ -234,8 +234,8 @@
         was_primary
     }
 
-    /// Records which servers are members. The evidence of former members is kept within the limits of
-    /// [`FormerMembers`].
+    /// Records which servers are members. The evidence of former members is kept for a limited time, and of a
+    /// limited number of them.
     pub fn retain_members(&mut self, now: f64, is_member: impl Fn(ServerId) -> bool) {
         for server in self.evidence.keys().copied().filter(|server| !is_member(*server)) {
             self.former_members.record_leave(server, now);
--- a/core/src/failover/primary_tracker/tests.rs
+++ b/core/src/failover/primary_tracker/tests.rs
@@ -1,5 +1,8 @@
 //! Tests of `primary_tracker`.
 
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
 use super::*;
 
 const A: ServerId = ServerId(1);
@@ -164,3 +167,55 @@
         assert_eq!((tracker.primary(), tracker.is_deposed(A)), (Some(B), true));
     }
 }
+
+/// Plain model of a server's own word: the last role that it reported, in order of arrival.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum OwnWord {
+    None,
+    Primary,
+    Replica,
+}
+
+/// Guards against a primary that has said last that it is a replica: whatever the list names, whoever
+/// leaves it and returns, and however often the primary is lost (review case 7).
+#[test]
+fn no_server_is_the_primary_whose_last_word_is_that_it_is_a_replica() {
+    const SEQUENCES: u64 = 2000;
+    const STEPS: u32 = 60;
+    const SERVERS: [ServerId; 3] = [A, B, C];
+    for seed in 0..SEQUENCES {
+        let mut random = Pcg64Mcg::seed_from_u64(seed);
+        let mut tracker = PrimaryTracker::default();
+        let mut own_words = [OwnWord::None; SERVERS.len()];
+        let mut listed = [true; SERVERS.len()];
+        for step in 1..=STEPS {
+            let now = f64::from(step);
+            let index = random.random_range(0..SERVERS.len());
+            let server = SERVERS[index];
+            match random.random_range(0..6) {
+                0 => {
+                    tracker.record_claim(claim(server, now, Some(now - 0.5)));
+                    own_words[index] = OwnWord::Primary;
+                }
+                1 | 2 => {
+                    tracker.record_not_primary(server, now);
+                    own_words[index] = OwnWord::Replica;
+                }
+                3 => drop(tracker.record_listed(server, now)),
+                4 => tracker.mark_lost(now),
+                _ => {
+                    listed[index] = !listed[index];
+                    if !listed[index] {
+                        tracker.withdraw(server);
+                    }
+                    tracker.retain_members(now, |member| {
+                        SERVERS.iter().position(|known| *known == member).is_some_and(|known| listed[known])
+                    });
+                }
+            }
+            let primary = SERVERS.iter().position(|known| Some(*known) == tracker.primary());
+            let word = primary.map(|primary| own_words[primary]);
+            assert_ne!(word, Some(OwnWord::Replica), "seed {seed}, step {step}: {tracker:?}");
+        }
+    }
+}
