--- a/tests/driver.rs
+++ b/tests/driver.rs
@@ -192,6 +192,17 @@
     assert!(at_replica > 0, "expected reads at replicas");
 }
 
+#[track_caller]
+fn assert_no_strong_read_is_sent_to_server_1(driver: &TestDriver, commands: &mut TestCommands) {
+    for _ in 0..10 {
+        let (_, _response) = driver.submit(new_request(LINEARIZABLE_READ), "query");
+        driver.step();
+        let servers: Vec<_> =
+            std::iter::from_fn(|| next_attempt(commands)).map(|attempt| attempt.server).collect();
+        assert!(!servers.contains(&ServerId(1)), "{servers:?}");
+    }
+}
+
 /// Guards against strong reads that go on to a former primary: it says that it is a replica only at the end of a long
 /// row, when the attempt has already ended (review case 6).
 #[test]
@@ -206,13 +217,7 @@
     driver.attempt_ended(attempt.id, without_status);
     let status = ServerStatus { position: Some(driver.clock().now()), primary: Some(false) };
     driver.status_reported(ServerId(1), status, attempt.sent_at);
-    for _ in 0..10 {
-        let (_, _response) = driver.submit(new_request(LINEARIZABLE_READ), "query");
-        driver.step();
-        let servers: Vec<_> =
-            std::iter::from_fn(|| next_attempt(&mut commands)).map(|attempt| attempt.server).collect();
-        assert!(!servers.contains(&ServerId(1)), "{servers:?}");
-    }
+    assert_no_strong_read_is_sent_to_server_1(&driver, &mut commands);
 }
 
 /// Peer process that has sent these messages, each of which is received once.
@@ -248,13 +253,7 @@
     successor.step();
     successor.restore(state, clock.zero_unix_ms());
     successor.step();
-    for _ in 0..10 {
-        let (_, _response) = successor.submit(new_request(LINEARIZABLE_READ), "query");
-        successor.step();
-        let servers: Vec<_> =
-            std::iter::from_fn(|| next_attempt(&mut commands)).map(|attempt| attempt.server).collect();
-        assert!(!servers.contains(&ServerId(1)), "{servers:?}");
-    }
+    assert_no_strong_read_is_sent_to_server_1(&successor, &mut commands);
 }
 
 /// Guards against a client that reads through the other process of a hot restart before that knows of the role which the
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -216,7 +216,6 @@
     assert!(proxy.child.wait().expect("the process exits").success());
 }
 
-/// A hot restart must not close any client connection, not even an idle one.
 /// Guards against a client that is never sent away, since it always has several requests out (trial out-of-service of the
 /// second review).
 #[test]
@@ -271,6 +270,7 @@
     drop(successor.join().expect("the successor starts"));
 }
 
+/// A hot restart must not close any client connection, not even an idle one.
 #[test]
 fn a_hot_restart_hands_over_the_listener_and_the_clients() {
     let server = start_server_with_marked_reply("id=9", || Reply::NoResponse);
