Connect the usual clients of the kill test while its crowd holds all places

The test opened four usual clients as soon as the last process ran and expected the first startup of each to succeed. At 16 MB the process takes 613 clients, and the crowd opens 738 connections on its SQL port: if the crowd came first, the usual clients were rejected with 53300, as the client limit says. It passed because it mostly won this race.

Evidence: the startup's error is now part of the message.

Change: the usual clients always come 100 ms after the crowd, so that the race is always lost. A rejected one tries again, and must be connected within the time that a response may take (0.9 s); eviction makes the room. Then no request may be lost, as before. The old test accepted a run in which no client met the full process.

--- a/tests/memory_crowds.rs
+++ b/tests/memory_crowds.rs
@@ -29,6 +29,8 @@
 const BEFORE_RESTART: Duration = Duration::from_millis(2500);
 /// Time from the start of a process to its kill.
 const BEFORE_SECOND_KILL: Duration = Duration::from_millis(720);
+/// Time from the start of a process to the first usual client, within which a crowd has taken all places.
+const BEFORE_USUAL_CLIENTS: Duration = Duration::from_millis(100);
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(10);
 
 /// Lets one test run at a time, so that the figures of a test are its own.
@@ -249,6 +251,7 @@
         drop(process);
         process = start_proxy_with_config(&config, &endpoints, None);
     }
+    thread::sleep(BEFORE_USUAL_CLIENTS);
     let usual_clients = UsualClients::start_reconnecting(&process, "usual");
     thread::sleep(KIND_PERIOD);
     let responses = usual_clients.finish();
--- a/tests/support/client.rs
+++ b/tests/support/client.rs
@@ -28,25 +28,31 @@
     /// Opens a connection and completes its startup.
     pub fn connect(proxy: &Proxy) -> Self {
         let (client, response) = connect_with_response(proxy);
-        assert_eq!(response.last().map(|m| m.0), Some(b'Z'));
+        let rejection = (error_field(&response, b'C'), error_field(&response, b'M'));
+        assert_eq!(response.last().map(|m| m.0), Some(b'Z'), "the startup has failed: {rejection:?}");
         client
     }
 
-    /// Opens a connection to this address and completes its startup. Tries again while the startup fails.
+    /// Opens a connection to this address and completes its startup. Tries again while the proxy closes the
+    /// connection or rejects the client for its limit.
     pub fn connect_to(address: SocketAddr) -> Self {
         let mut connected = None;
         wait_until("a connection to the address", || {
-            connected = ClosingStream::connect(address).ok().and_then(|stream| {
-                stream.set_read_timeout(Some(TEST_TIMEOUT)).ok()?;
-                let mut client = Self { stream };
-                client.stream.write_all(&startup()).ok()?;
-                (client.read_response().last()?.0 == b'Z').then_some(client)
-            });
+            connected = Self::try_connect(address);
             connected.is_some()
         });
         connected.expect("the client is connected")
     }
 
+    fn try_connect(address: SocketAddr) -> Option<Self> {
+        let stream = ClosingStream::connect(address).ok()?;
+        stream.set_read_timeout(Some(TEST_TIMEOUT)).ok()?;
+        let mut client = Self { stream };
+        client.stream.write_all(&startup()).ok()?;
+        let response = client.read_response();
+        (response.last()?.0 == b'Z').then_some(client)
+    }
+
     /// Sends a simple query and reads its response, which is empty if the connection has been closed.
     pub fn try_request(&mut self, text: &str) -> Response {
         if self.stream.write_all(&query(text)).is_err() {
--- a/tests/support/flood.rs
+++ b/tests/support/flood.rs
@@ -156,10 +156,15 @@
         })
     }
 
-    /// Starts clients that reconnect to the proxy's address, which its successors share.
+    /// Starts clients that reconnect to the proxy's address, which its successors share. A client that the proxy
+    /// rejects while others take all places tries again, and must get a place as soon as a response.
     pub fn start_reconnecting(proxy: &Proxy, prefix: &str) -> Self {
         Self::start_each(prefix, |prefix, stop| {
-            let (client, address) = (Client::connect(proxy), proxy.address);
+            let address = proxy.address;
+            let started_at = Instant::now();
+            let client = Client::connect_to(address);
+            let time = started_at.elapsed();
+            assert!(time <= MAX_RESPONSE_TIME, "a usual client was connected after {time:?}");
             thread::spawn(move || send_usual_requests(client, Some(address), &prefix, &stop))
         })
     }
