Print the timeline of a soak that breaks a rule, and keep its processes' log lines

A violation now has the time of its request, the report lists events, starts, signals and ends of processes, and all lines go to a file; GW_LOG=debug adds lines. Checks and bounds are unchanged, except that log lines of a process count up to its end.

--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -8,6 +8,7 @@
 use crate::events::Schedule;
 use crate::instance::{memory_mb, Instance};
 use crate::servers::Arrival;
+use crate::timeline::Timeline;
 
 /// A response up to half a second after its time is late; a later one is lost.
 const MAX_LATE_TIME: Duration = Duration::from_millis(500);
@@ -22,7 +23,6 @@
 const BYTES_PER_MEGABYTE: u64 = 1_000_000;
 
 /// Result of a soak.
-#[derive(Debug)]
 pub struct SoakReport {
     seed: u64,
     events: usize,
@@ -33,21 +33,26 @@
     peak_memory: u64,
     delayed_steps: usize,
     pub violations: Vec<String>,
+    pub timeline: Timeline,
 }
 
 impl SoakReport {
-    pub fn new(seed: u64, schedule: &Schedule, instance: &Instance, outcomes: Vec<Outcome>) -> Self {
+    pub fn new(seed: u64, schedule: &Schedule, instance: Instance, outcomes: Vec<Outcome>) -> Self {
         let arrivals = instance.servers.arrivals();
         let departures = instance.requests.departures.lock().expect("no thread panics").clone();
-        let log = &instance.log;
-        let mut violations = log.violations.clone();
-        violations.extend(lost_requests(&outcomes, &log.kills));
+        let mut log = instance.log;
+        let mut violations = std::mem::take(&mut log.violations);
+        violations.extend(lost_requests(&outcomes, &log.kills, &log.timeline));
         violations.extend(repeated_writes(&arrivals));
         violations.extend(attempts_after_departures(&arrivals, &departures));
         violations.extend(excessive_times(&arrivals, &outcomes));
         if log.peak_memory > u64::from(memory_mb()) * BYTES_PER_MEGABYTE {
             violations.push(format!("memory: {} bytes", log.peak_memory));
         }
+        if !violations.is_empty() {
+            let path = write_log_lines(seed, &log.lines);
+            log.timeline.record(format!("log lines of all processes: {path}"));
+        }
         Self {
             seed,
             events: schedule.events.len(),
@@ -60,12 +65,25 @@
                 .max()
                 .unwrap_or_default(),
             peak_memory: log.peak_memory,
-            delayed_steps: log.delayed_steps.len(),
+            delayed_steps: log.lines.iter().filter(|line| is_delayed_step(line)).count(),
             violations,
+            timeline: log.timeline,
         }
     }
 }
 
+/// Returns whether a log line tells of steps that were delayed by 100 ms or more.
+fn is_delayed_step(line: &str) -> bool {
+    line.contains("steps delayed by other tasks")
+}
+
+/// Writes log lines to a file and returns its path.
+fn write_log_lines(seed: u64, lines: &[String]) -> String {
+    let path = format!("{}/soak-{seed}-{}.log", env!("CARGO_TARGET_TMPDIR"), std::process::id());
+    std::fs::write(&path, lines.join("\n")).expect("the file can be written");
+    path
+}
+
 impl fmt::Display for SoakReport {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
@@ -87,7 +105,7 @@
 }
 
 /// Requests without a response in time. A kill excuses those that were open then.
-pub fn lost_requests(outcomes: &[Outcome], kills: &[Instant]) -> Vec<String> {
+pub fn lost_requests(outcomes: &[Outcome], kills: &[Instant], timeline: &Timeline) -> Vec<String> {
     let is_excused = |outcome: &Outcome| {
         kills
             .iter()
@@ -101,7 +119,8 @@
     let lost = outcomes.iter().filter(is_lost).filter(|outcome| !is_excused(outcome));
     lost.map(|outcome| {
         let time_ms = (outcome.ended_at - outcome.sent_at).as_millis();
-        format!("lost: {} ended as {:?} after {time_ms} ms", outcome.id, outcome.ending)
+        let sent_secs = timeline.since_start(outcome.sent_at).as_secs_f64();
+        format!("lost: {} of {sent_secs:.3} s ended as {:?} after {time_ms} ms", outcome.id, outcome.ending)
     })
     .collect()
 }
@@ -163,10 +182,14 @@
     fn each_planted_fault_is_reported() {
         let ended = outcome(Ending::ConnectionEnded { is_new: true }, 5);
         let kill = ended.sent_at;
-        assert_eq!(lost_requests(std::slice::from_ref(&ended), &[]).len(), 1);
-        assert_eq!(lost_requests(&[ended], &[kill]).len(), 0, "a kill excuses it");
-        assert_eq!(lost_requests(&[outcome(Ending::Served, 1299)], &[]).len(), 0);
-        assert_eq!(lost_requests(&[outcome(Ending::Served, 1301)], &[]).len(), 1);
+        let timeline = Timeline::start();
+        let lost = |outcome: &Outcome, kills: &[Instant]| {
+            lost_requests(std::slice::from_ref(outcome), kills, &timeline).len()
+        };
+        assert_eq!(lost(&ended, &[]), 1);
+        assert_eq!(lost(&ended, &[kill]), 0, "a kill excuses it");
+        assert_eq!(lost(&outcome(Ending::Served, 1299), &[]), 0);
+        assert_eq!(lost(&outcome(Ending::Served, 1301), &[]), 1);
         let now = Instant::now();
         assert_eq!(repeated_writes(&[arrival("a", now, 1), arrival("b", now, 1)]).len(), 0);
         assert_eq!(repeated_writes(&[arrival("a", now, 1), arrival("a", now, 1)]).len(), 1);
--- a/tests/soak/instance.rs
+++ b/tests/soak/instance.rs
@@ -12,6 +12,7 @@
 use crate::events::{flood, EventKind};
 use crate::servers::{Behavior, Servers};
 use crate::support::*;
+use crate::timeline::Timeline;
 
 /// Memory limit of a process, in megabytes, unless `SOAK_MEMORY_MB` says otherwise.
 const DEFAULT_MEMORY_MB: u32 = 64;
@@ -27,7 +28,7 @@
 }
 
 /// What happened to the processes of an instance.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ProcessLog {
     /// Times at which a process was killed, and all its requests with it.
     pub kills: Vec<Instant>,
@@ -37,8 +38,39 @@
     pub peak_memory: u64,
     /// Number of processes.
     pub started: usize,
-    /// Lines about steps that were delayed by 100 ms or more.
-    pub delayed_steps: Vec<String>,
+    /// Log lines of the processes that have ended.
+    pub lines: Vec<String>,
+    pub timeline: Timeline,
+}
+
+impl ProcessLog {
+    /// Creates the log of an instance with one process.
+    fn new() -> Self {
+        Self {
+            kills: Vec::new(),
+            violations: Vec::new(),
+            peak_memory: 0,
+            started: 1,
+            lines: Vec::new(),
+            timeline: Timeline::start(),
+        }
+    }
+
+    fn record(&mut self, what: &str, process: &Proxy) {
+        let id = process.child.id();
+        self.timeline.record(format!("process {id} at {} {what}", process.address));
+    }
+
+    fn record_kill(&mut self, process: &Proxy) {
+        self.kills.push(Instant::now());
+        self.record("is killed", process);
+    }
+
+    /// Records the end of a process and keeps its log lines.
+    fn record_end(&mut self, process: &Proxy) {
+        self.record("has ended", process);
+        self.lines.extend(process.log.iter());
+    }
 }
 
 /// One proxy instance.
@@ -72,7 +104,7 @@
         Self {
             servers,
             requests: Arc::default(),
-            log: ProcessLog { started: 1, ..ProcessLog::default() },
+            log: ProcessLog::new(),
             address: Arc::new(Mutex::new(current.address)),
             faults,
             state_dir,
@@ -85,6 +117,7 @@
 
     /// Plays an event. Returns when it is over.
     pub fn play(&mut self, event: &EventKind) {
+        self.log.timeline.record(format!("event {event:?}"));
         match event {
             EventKind::Upgrade { terminate_after } => self.upgrade(*terminate_after),
             EventKind::KilledSuccessor => self.kill_successor(),
@@ -150,7 +183,9 @@
 
     fn start_process(&mut self) -> Proxy {
         self.log.started += 1;
-        self.faults.start_proxy(&config(), &self.servers.endpoints, Some(&self.state_dir))
+        let process = self.faults.start_proxy(&config(), &self.servers.endpoints, Some(&self.state_dir));
+        self.log.record("serves", &process);
+        process
     }
 
     fn upgrade(&mut self, terminate_after: Duration) {
@@ -162,6 +197,7 @@
 
     /// Terminates the current process, which `successor` replaces.
     fn terminate_current(&mut self, successor: Option<Proxy>) {
+        self.log.record("gets SIGTERM", &self.current);
         self.current.signal("TERM");
         self.current.signal("HUP");
         let kill_at = Instant::now() + KILL_DELAY;
@@ -178,28 +214,28 @@
                     Some(status) => self.log.violations.push(format!("a process ended with {status}")),
                     None => {
                         self.log.violations.push("a process outlasted the time of its kill".to_owned());
-                        self.log.kills.push(Instant::now());
+                        self.log.record_kill(&self.current);
                         let _ = self.current.child.kill();
                     }
                 }
-                self.collect_lines();
+                self.log.record_end(&self.current);
             }
         }
     }
 
     fn kill_successor(&mut self) {
         let mut successor = self.start_process();
-        self.log.kills.push(Instant::now());
+        self.log.record_kill(&successor);
         let _ = successor.child.kill();
         let _ = successor.child.wait();
     }
 
     fn kill_current(&mut self) {
         self.record_memory();
-        self.log.kills.push(Instant::now());
+        self.log.record_kill(&self.current);
         let _ = self.current.child.kill();
         let _ = self.current.child.wait();
-        self.collect_lines();
+        self.log.record_end(&self.current);
         self.current = self.start_process();
         *self.address.lock().expect("no thread panics") = self.current.address;
         if let Some(SlowCrowd { clients, crowd }) = self.slow_crowd.take() {
@@ -216,12 +252,12 @@
                     if !status.success() {
                         log.violations.push(format!("a process ended with {status}"));
                     }
-                    log.delayed_steps.extend(delayed_steps(&ending.process));
+                    log.record_end(&ending.process);
                     false
                 }
                 None if Instant::now() >= ending.kill_at => {
                     log.violations.push("a process outlasted the time of its kill".to_owned());
-                    log.kills.push(Instant::now());
+                    log.record_kill(&ending.process);
                     let _ = ending.process.child.kill();
                     false
                 }
@@ -236,10 +272,6 @@
             self.log.peak_memory = self.log.peak_memory.max(peak_memory_or_zero(self.current.child.id()));
         }
     }
-
-    fn collect_lines(&mut self) {
-        self.log.delayed_steps.extend(delayed_steps(&self.current));
-    }
 }
 
 /// Returns the peak memory of a process in bytes; 0 if it has ended.
@@ -251,10 +283,6 @@
     }
 }
 
-fn delayed_steps(process: &Proxy) -> Vec<String> {
-    process.log.try_iter().filter(|line| line.contains("steps delayed by other tasks")).collect()
-}
-
 /// Returns the memory limit of a process, in megabytes.
 pub fn memory_mb() -> u32 {
     let text = std::env::var("SOAK_MEMORY_MB").ok();
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `SOAK_SEEDS=1-50 cargo test --test soak -- --nocapture` runs these seeds and prints a line for each. Without the
 //! variable three seeds run; `SOAK_MEMORY_MB` sets the memory limit. A seed fixes the events, their order and their times.
+//! A seed with violations prints its timeline and leaves the log lines of its processes in a file; `GW_LOG=debug` adds lines.
 
 #[path = "../support/mod.rs"]
 mod support;
@@ -11,6 +12,7 @@
 mod events;
 mod instance;
 mod servers;
+mod timeline;
 
 use std::time::Duration;
 
@@ -46,7 +48,7 @@
     std::thread::sleep(SETTLE_TIME);
     instance.shut_down();
     let responses = usual_clients.finish();
-    SoakReport::new(seed, &schedule, &instance, responses)
+    SoakReport::new(seed, &schedule, instance, responses)
 }
 
 /// Guards against faults that only show when several of the project's past incidents come together.
@@ -55,7 +57,11 @@
     let reports: Vec<_> = seeds().into_iter().map(run).collect();
     for report in &reports {
         println!("{report}");
+        if !report.violations.is_empty() {
+            println!("{}", report.timeline);
+        }
     }
-    let broken: Vec<_> = reports.iter().filter(|report| !report.violations.is_empty()).collect();
+    let broken: Vec<_> =
+        reports.iter().filter(|report| !report.violations.is_empty()).map(ToString::to_string).collect();
     assert!(broken.is_empty(), "{broken:#?}");
 }
