--- a/src/net/client/mod.rs
+++ b/src/net/client/mod.rs
@@ -11,6 +11,7 @@
 mod inbound;
 mod long_statement;
 mod message_discarder;
+mod message_reader;
 mod pause_detector;
 mod pipeline_overflow;
 mod query;
@@ -25,6 +26,7 @@
 mod socket_share;
 mod startup;
 mod statement_memory;
+mod stream_guard;
 
 pub use class_table::ConfiguredClass;
 pub use service::{listen, ClientOptions, ClientService};
--- a/src/net/client/query.rs
+++ b/src/net/client/query.rs
@@ -13,7 +13,7 @@
 use super::request_ids::IdStatus;
 use super::responses::WRITE_TIMEOUT;
 use super::service_phase::ServicePhase;
-use super::shared::StreamGuard;
+use super::stream_guard::StreamGuard;
 use crate::api::{Consistency, GroupId};
 use crate::net::buffers::{write_chain, BufferReservation, Purpose};
 use crate::net::driver::{NewRequest, Repeat, Response};
--- a/src/net/client/shared.rs
+++ b/src/net/client/shared.rs
@@ -21,6 +21,9 @@
 use crate::net::log_limit::LogLimit;
 use crate::net::server::PgDriver;
 
+/// Time out of service after which a connection that is never idle serves only the requests that it has received.
+const MAX_BUSY_PERIOD: Duration = Duration::from_millis(1200);
+
 /// State of the client side, shared by the accept loop and all connection tasks.
 pub(super) struct Shared {
     pub driver: PgDriver,
@@ -65,26 +68,6 @@
     memory_waits: LogLimit,
 }
 
-/// Time out of service after which a connection that is never idle serves only the requests that it has received.
-const MAX_BUSY_PERIOD: Duration = Duration::from_millis(1200);
-
-/// Counts a long result among those that data servers still send, until it is dropped.
-pub(super) struct StreamGuard<'a>(&'a Shared);
-
-impl<'a> StreamGuard<'a> {
-    pub(super) fn new(shared: &'a Shared) -> Self {
-        shared.open_streams.set(shared.open_streams.get() + 1);
-        Self(shared)
-    }
-}
-
-impl Drop for StreamGuard<'_> {
-    fn drop(&mut self) {
-        self.0.open_streams.set(self.0.open_streams.get() - 1);
-        self.0.shutdown_notify.notify_waiters();
-    }
-}
-
 impl Shared {
     pub(super) fn new(driver: PgDriver, options: ClientOptions, pool: BufferPool) -> Self {
         let ClientOptions { max_clients, reserved_clients, sockets, classes } = options;
--- a/src/net/client/shutdown.rs
+++ b/src/net/client/shutdown.rs
@@ -7,6 +7,7 @@
 
 use super::service::ClientService;
 use super::service_phase::ServicePhase;
+use super::shared::Shared;
 
 /// Time after the drain deadline in which the remaining clients are sent an error.
 const FINAL_ERRORS_TIMEOUT: Duration = Duration::from_millis(50);
@@ -69,13 +70,7 @@
     }
 
     async fn all_streams_ended(&self) {
-        loop {
-            let changed = self.0.shutdown_notify.notified();
-            if self.0.open_streams.get() == 0 {
-                return;
-            }
-            changed.await;
-        }
+        self.wait_until(|shared| shared.open_streams.get() == 0).await;
     }
 
     fn shutdown_progress(&self) -> ShutdownProgress {
@@ -88,9 +83,14 @@
     }
 
     async fn all_disconnected(&self) {
+        self.wait_until(|shared| shared.connections.is_empty()).await;
+    }
+
+    /// Waits until `condition` holds. It is checked whenever the shutdown may advance.
+    async fn wait_until(&self, condition: impl Fn(&Shared) -> bool) {
         loop {
             let changed = self.0.shutdown_notify.notified();
-            if self.0.connections.is_empty() {
+            if condition(&self.0) {
                 return;
             }
             changed.await;
