Find a new primary for strong reads by health checks

What callers saw: after a primary was lost or had become a replica, strong reads were rejected until a write found the new one; without writes, for ever. Test before: 41 reads served before the loss, 0 from 1 s after the promotion on. Cause: only writes search, since a replica would answer a read from old data; the role in the reply to a health check was thrown away, and no member that is up was checked. Change: the status in a health check's reply counts like any other; a queued strong read without a working primary probes the members by health checks, each every 0.25 s at most (1 s in a large fleet), if the settings allow probes.

--- a/core/src/api/settings.rs
+++ b/core/src/api/settings.rs
@@ -166,6 +166,8 @@
     pub listed_role: ListedRole,
     /// Occasions on which servers send load reports.
     pub load_reports: LoadReports,
+    /// Whether the response to a health check tells the role of the server.
+    pub health_checks_tell_role: bool,
     /// Delivery of updates of the endpoint list.
     pub discovery: DiscoveryMode,
     /// Limits of the deployment.
--- a/core/src/discovery_schedule/tests.rs
+++ b/core/src/discovery_schedule/tests.rs
@@ -51,6 +51,7 @@
         session_tokens: SessionTokens::FromClient,
         listed_role: ListedRole::Absent,
         load_reports: LoadReports::Never,
+        health_checks_tell_role: false,
         discovery: DiscoveryMode::Subscribe,
         limits,
         rules,
--- a/core/src/failover/replica_set.rs
+++ b/core/src/failover/replica_set.rs
@@ -76,6 +76,11 @@
         self.tracker.primary()
     }
 
+    /// Returns whether a primary is known that is not lost.
+    pub fn has_live_primary(&self) -> bool {
+        self.tracker.has_live_primary()
+    }
+
     /// Returns the failover phase.
     pub fn phase(&self) -> Phase {
         self.phase
--- a/core/src/routing/dispatch.rs
+++ b/core/src/routing/dispatch.rs
@@ -109,8 +109,8 @@
                 down.trial_started(self.now, request_rate);
                 Some(attempt)
             }
-            ReadDecision::Route { attempt, position_probe } => {
-                if let Some(server) = position_probe {
+            ReadDecision::Route { attempt, probe } => {
+                if let Some(server) = probe {
                     self.cluster.server_mut(server)?.position_probe_sent(self.now);
                     self.requests.get_mut(&id)?.position_probe_sent();
                     actions.push(Action::HealthCheck { server });
--- a/core/src/routing/mod.rs
+++ b/core/src/routing/mod.rs
@@ -31,6 +31,7 @@
 mod read_admission;
 mod read_routing;
 mod retry_budget;
+mod role_probe;
 mod server;
 mod snapshot;
 mod tenant_meter;
--- a/core/src/routing/read_routing.rs
+++ b/core/src/routing/read_routing.rs
@@ -18,6 +18,7 @@
 use super::group::Group;
 use super::open_request::OpenRequest;
 use super::position_probe::{read_probe_decision, ProbeDecision, ReadProbeContext};
+use super::role_probe::role_probe_target;
 use super::server::{DownState, Server, TrialPolicy};
 use super::view::{PlannedAttempt, RoutingView};
 
@@ -57,15 +58,15 @@
     Route {
         /// The attempt; `None` if the read stays queued.
         attempt: Option<PlannedAttempt>,
-        /// Replica that is probed by a health check; `None` for no probe.
-        position_probe: Option<ServerId>,
+        /// Member that is probed by a health check; `None` for no probe.
+        probe: Option<ServerId>,
     },
 }
 
 /// Selects the server for a read.
 pub(super) fn route_read(view: &RoutingView, read: &OpenRequest, draws: ReadDraws) -> ReadDecision {
     let Some(group) = view.cluster.groups().get(read.request().group) else {
-        return ReadDecision::Route { attempt: None, position_probe: None };
+        return ReadDecision::Route { attempt: None, probe: None };
     };
     let router = ReadRouter::new(view, read, group, draws);
     match router.trial() {
@@ -141,15 +142,16 @@
             server: member.id,
             timeout_secs: self.view.attempt_timeout_secs(self.read, member.server),
         });
+        if self.class.consistency == Consistency::Linearizable {
+            return ReadDecision::Route { attempt: planned, probe: self.role_probe_target() };
+        }
         match self.probe_decision(!fresh.is_empty()) {
-            ProbeDecision::NotNeeded => ReadDecision::Route { attempt: planned, position_probe: None },
-            ProbeDecision::AwaitReport => ReadDecision::Route { attempt: None, position_probe: None },
+            ProbeDecision::NotNeeded => ReadDecision::Route { attempt: planned, probe: None },
+            ProbeDecision::AwaitReport => ReadDecision::Route { attempt: None, probe: None },
             ProbeDecision::ProbeAndProceed(server) => {
-                ReadDecision::Route { attempt: planned, position_probe: Some(server) }
-            }
-            ProbeDecision::ProbeAndWait(server) => {
-                ReadDecision::Route { attempt: None, position_probe: Some(server) }
+                ReadDecision::Route { attempt: planned, probe: Some(server) }
             }
+            ProbeDecision::ProbeAndWait(server) => ReadDecision::Route { attempt: None, probe: Some(server) },
         }
     }
 
@@ -292,6 +294,16 @@
             && SLOW_SERVER_RATIO * self.expected_secs(primary) < self.expected_secs(replica)
     }
 
+    /// Returns the member that is probed by a health check to find the primary for a strong read.
+    fn role_probe_target(&self) -> Option<ServerId> {
+        let set = self.group.replica_set();
+        if set.has_live_primary() {
+            return None;
+        }
+        let members = self.view.cluster.members(self.read.request().group);
+        role_probe_target(members, set.primary(), self.view.settings, self.view.now)
+    }
+
     fn probe_decision(&self, has_fresh_replica: bool) -> ProbeDecision {
         let members = self.view.cluster.members(self.read.request().group);
         let replicas = members.filter(|member| self.is_replica_for_read(member) && self.has_capacity(member));
--- a/core/tests/action_hash/settings.rs
+++ b/core/tests/action_hash/settings.rs
@@ -92,6 +92,7 @@
             session_tokens: self.session_tokens,
             listed_role: self.listed_role,
             load_reports: self.load_reports,
+            health_checks_tell_role: false,
             discovery: self.discovery,
             limits: self.limits(),
             rules: self.service_rules(),
--- a/core/tests/routing/main.rs
+++ b/core/tests/routing/main.rs
@@ -8,4 +8,5 @@
 mod queueing;
 mod read_routing;
 mod retries;
+mod role_probes;
 mod warm_up;
--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -49,6 +49,7 @@
         session_tokens: SessionTokens::FromClient,
         listed_role: ListedRole::Delayed,
         load_reports: LoadReports::Never,
+        health_checks_tell_role: false,
         discovery: DiscoveryMode::Push,
         limits: limits(),
         rules: rules(),
--- a/src/net/server/health_check.rs
+++ b/src/net/server/health_check.rs
@@ -1,7 +1,9 @@
-//! Health checks: each sends a query to a server and evaluates the reply.
+//! Health checks: each sends a query to a server and evaluates the reply. The reply tells the role of the server like
+//! any other.
 
 use std::cell::Cell;
 use std::io::{self, IoSlice};
+use std::time::Duration;
 
 use tokio::time::timeout_at;
 
@@ -9,7 +11,7 @@
 use super::connection_pool::CheckoutResult;
 use super::reply::{read_reply, ExpectedReply, Reply};
 use super::ServerSide;
-use crate::api::{LoadReport, ServerId};
+use crate::api::{LoadReport, ServerId, ServerStatus};
 use crate::net::buffers::write_all;
 use crate::net::postgres;
 
@@ -18,12 +20,27 @@
 /// Query for servers whose health checks return no load report.
 const PING_QUERY: &str = "SELECT 1";
 
+/// Status in the reply to a health check.
+pub(super) struct HealthCheckStatus {
+    pub status: ServerStatus,
+    /// Time at which the health check was sent, on the driver's clock.
+    pub sent_at: Duration,
+}
+
 /// Result of a health check.
 pub(super) struct HealthCheckResult {
     /// Whether the server passed.
     pub ok: bool,
     /// `None` if the reply contains no load report.
     pub load_report: Option<LoadReport>,
+    /// `None` if the reply contains no status.
+    pub status: Option<HealthCheckStatus>,
+}
+
+impl HealthCheckResult {
+    fn without_reply(ok: bool) -> Self {
+        Self { ok, load_report: None, status: None }
+    }
 }
 
 impl ServerSide {
@@ -33,14 +50,18 @@
         let connect_deadline = self.connections.connect_deadline();
         let start_deadline = self.connections.start_deadline();
         let deadline = start_deadline.map_or(connect_deadline, |start| start.min(connect_deadline));
+        let sent_at = self.driver.clock().now();
         match timeout_at(deadline, self.health_check_reply(server)).await {
             Ok(Ok(reply)) => HealthCheckResult {
                 ok: reply.is_complete_result(),
                 load_report: reply.health_check_load_report(&self.position_clock),
+                status: reply
+                    .status(&self.position_clock)
+                    .map(|status| HealthCheckStatus { status, sent_at }),
             },
             // A server that sends an invalid reply is up, so it passes.
-            Ok(Err(e)) => HealthCheckResult { ok: e.kind() == io::ErrorKind::InvalidData, load_report: None },
-            Err(_) => HealthCheckResult { ok: false, load_report: None },
+            Ok(Err(e)) => HealthCheckResult::without_reply(e.kind() == io::ErrorKind::InvalidData),
+            Err(_) => HealthCheckResult::without_reply(false),
         }
     }
 
--- a/src/net/server/mod.rs
+++ b/src/net/server/mod.rs
@@ -33,6 +33,7 @@
 use crate::net::driver::{AttemptCommand, Driver, ServerCommand};
 use crate::net::log_limit::LogLimit;
 use connection_pool::ConnectionPool;
+use health_check::HealthCheckStatus;
 use position_clock::PositionClock;
 
 /// Interval between checks for connections that have been idle for too long.
@@ -122,6 +123,9 @@
         let server_side = self.clone();
         spawn_local(async move {
             let result = server_side.check_health(server).await;
+            if let Some(HealthCheckStatus { status, sent_at }) = result.status {
+                server_side.driver.status_reported(server, status, sent_at);
+            }
             server_side.driver.health_checked(server, result.ok, result.load_report);
         });
     }
--- a/src/settings/config.rs
+++ b/src/settings/config.rs
@@ -86,6 +86,8 @@
         config.kept_keys = KEPT_KEYS.into_iter().filter(|key| content.get(*key).is_some()).collect();
         let (mut settings, connections) = super::read(&config.settings)?;
         watch_discovery(&mut settings);
+        // Over sockets, every response of a data server ends with its role.
+        settings.health_checks_tell_role = true;
         settings.validate()?;
         config.seed()?;
         if config.limits.sockets < MIN_SOCKETS {
--- a/src/settings/engine.rs
+++ b/src/settings/engine.rs
@@ -28,6 +28,7 @@
         session_tokens: read_session_tokens(domain)?,
         listed_role: read_listed_role(domain),
         load_reports: read_load_reports(settings.object("Report")),
+        health_checks_tell_role: false,
         discovery: read_discovery_mode(settings),
         limits: read_limits(settings.object("Limits"))?,
         rules: read_rules(settings.object("Contract"))?,
--- a/testkit/src/fleet/rule_checker/tests.rs
+++ b/testkit/src/fleet/rule_checker/tests.rs
@@ -34,6 +34,7 @@
         session_tokens: SessionTokens::Tracked,
         listed_role: ListedRole::Static,
         load_reports: LoadReports::Never,
+        health_checks_tell_role: false,
         discovery: DiscoveryMode::Subscribe,
         limits: Limits {
             max_attempts: 2,
--- a/testkit/src/fleet/scenario/default_plan.rs
+++ b/testkit/src/fleet/scenario/default_plan.rs
@@ -125,6 +125,7 @@
         session_tokens: SessionTokens::FromClient,
         listed_role: ListedRole::Delayed,
         load_reports: LoadReports::Never,
+        health_checks_tell_role: false,
         discovery: DiscoveryMode::Subscribe,
         limits: Limits {
             max_attempts: 6,
--- a/testkit/tests/rules.rs
+++ b/testkit/tests/rules.rs
@@ -127,6 +127,7 @@
                 session_tokens,
                 listed_role,
                 load_reports: if limits.allow_health_checks { load_reports } else { LoadReports::Never },
+                health_checks_tell_role: limits.allow_health_checks,
                 discovery: DiscoveryMode::Subscribe,
                 limits,
                 rules,
