Log the close of the listener and the end of a graceful shutdown

A soak client was reset on a new connection as its process ended, and the log did not tell whether the process had accepted it. Two debug lines say how many connections came out of the accept queue and how many were left at the end.

--- a/src/net/client/service.rs
+++ b/src/net/client/service.rs
@@ -84,8 +84,9 @@
                 task.abort();
                 let _ = task.await;
             }
-            if let Err(e) = self.drain_accept_queue(listener).await {
-                log::warn!("draining the accept queue failed: {e}");
+            match self.drain_accept_queue(listener).await {
+                Ok(count) => log::debug!("listener closed: {count} connections accepted from its queue"),
+                Err(e) => log::warn!("draining the accept queue failed: {e}"),
             }
         }
         self.0.update_shutdown(|shutdown| shutdown.listener_closed());
@@ -118,17 +119,19 @@
 
     /// Accepts the connections left in the accept queue, which the kernel has already established. Calls
     /// `accept` directly, since the runtime's readiness state is as old as its last poll. Goes on after an error
-    /// until the process ends: a client in the queue may have sent a request.
-    async fn drain_accept_queue(&self, listener: TcpListener) -> io::Result<()> {
+    /// until the process ends: a client in the queue may have sent a request. Returns the number of connections.
+    async fn drain_accept_queue(&self, listener: TcpListener) -> io::Result<usize> {
         let queue = listener.into_std()?;
+        let mut count = 0;
         loop {
             charge(Work::Message).await;
             match queue.accept() {
                 Ok((stream, peer)) => {
                     stream.set_nonblocking(true)?;
                     self.admit(TcpStream::from_std(stream).map(|stream| (stream, peer))).await;
+                    count += 1;
                 }
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return Ok(count),
                 Err(e) => self.accept_failed(&e).await,
             }
         }
--- a/src/net/client/shutdown.rs
+++ b/src/net/client/shutdown.rs
@@ -57,6 +57,7 @@
         shared.phase.advance(ServicePhase::DrainEnded);
         let _ = timeout(FINAL_ERRORS_TIMEOUT, self.all_disconnected()).await;
         self.pass_on_open_streams().await;
+        log::debug!("graceful shutdown ended: {} connections left", shared.connections.len());
     }
 
     async fn pass_on_open_streams(&self) {
