--- a/tests/soak/checks.rs
+++ b/tests/soak/checks.rs
@@ -43,9 +43,9 @@
         let mut log = instance.log;
         let mut violations = std::mem::take(&mut log.violations);
         violations.extend(lost_requests(&outcomes, &log.kills, &log.timeline));
-        violations.extend(repeated_writes(&arrivals));
+        violations.extend(repeated_writes(&arrivals, &outcomes, &log.timeline));
         violations.extend(attempts_after_departures(&arrivals, &departures));
-        violations.extend(excessive_times(&arrivals, &outcomes));
+        violations.extend(excessive_times(&arrivals, &outcomes, &log.timeline));
         if log.peak_memory > u64::from(memory_mb()) * BYTES_PER_MEGABYTE {
             violations.push(format!("memory: {} bytes", log.peak_memory));
         }
@@ -126,13 +126,28 @@
 }
 
 /// Writes that the primary has received more than once.
-pub fn repeated_writes(arrivals: &[Arrival]) -> Vec<String> {
+pub fn repeated_writes(arrivals: &[Arrival], outcomes: &[Outcome], timeline: &Timeline) -> Vec<String> {
     let mut counts: HashMap<&str, usize> = HashMap::new();
     for arrival in arrivals.iter().filter(|arrival| arrival.is_write && arrival.is_at_primary) {
         *counts.entry(&arrival.id).or_default() += 1;
     }
+    let by_id: HashMap<_, _> = outcomes.iter().map(|outcome| (&*outcome.id, outcome)).collect();
     let repeated = counts.into_iter().filter(|(_, count)| *count > 1);
-    repeated.map(|(id, count)| format!("duplicate: write {id} reached the primary {count} times")).collect()
+    let message = |(id, count)| {
+        let sent = by_id.get(id).map_or_else(String::new, |outcome| sending_times(outcome, timeline));
+        format!("duplicate: write {id}{sent} reached the primary {count} times")
+    };
+    repeated.map(message).collect()
+}
+
+/// Describes when a client has sent its request, and sent it once more.
+fn sending_times(outcome: &Outcome, timeline: &Timeline) -> String {
+    let seconds = |at| timeline.since_start(at).as_secs_f64();
+    let first = format!(" of {:.3} s", seconds(outcome.sent_at));
+    match outcome.sent_again_at {
+        Some(again) => format!("{first}, sent again at {:.3} s,", seconds(again)),
+        None => first,
+    }
 }
 
 /// Attempts that began too long after their client had left.
@@ -149,14 +164,20 @@
 }
 
 /// Attempts that told their server more time than was left to the client.
-pub fn excessive_times(arrivals: &[Arrival], outcomes: &[Outcome]) -> Vec<String> {
-    let sent_at: HashMap<_, _> = outcomes.iter().map(|outcome| (&*outcome.id, outcome.sent_at)).collect();
+pub fn excessive_times(arrivals: &[Arrival], outcomes: &[Outcome], timeline: &Timeline) -> Vec<String> {
+    let by_id: HashMap<_, _> = outcomes.iter().map(|outcome| (&*outcome.id, outcome)).collect();
     let excess = arrivals.iter().filter_map(|arrival| {
-        let ends_at = *sent_at.get(&*arrival.id)? + TIMEOUT;
+        let outcome = *by_id.get(&*arrival.id)?;
+        let ends_at = outcome.sent_at + TIMEOUT;
         let allowed = ends_at + MAX_TIME_LEFT_EXCESS + MEASURING_ERROR;
-        (arrival.at + arrival.time_left > allowed).then(|| arrival.at + arrival.time_left - ends_at)
+        let is_excessive = arrival.at + arrival.time_left > allowed;
+        is_excessive.then(|| (outcome, arrival.at + arrival.time_left - ends_at))
     });
-    excess.map(|by| format!("deadline: a server was told {by:?} more than was left")).collect()
+    let message = |(outcome, by): (&Outcome, Duration)| {
+        let sent = sending_times(outcome, timeline);
+        format!("deadline: a server was told {by:?} more than was left of {}{sent}", outcome.id)
+    };
+    excess.map(message).collect()
 }
 
 #[cfg(test)]
@@ -165,7 +186,8 @@
 
     fn outcome(ending: Ending, time_ms: u64) -> Outcome {
         let sent_at = Instant::now();
-        Outcome { id: "a".to_owned(), sent_at, ended_at: sent_at + Duration::from_millis(time_ms), ending }
+        let ended_at = sent_at + Duration::from_millis(time_ms);
+        Outcome { id: "a".to_owned(), sent_at, sent_again_at: None, ended_at, ending }
     }
 
     fn arrival(id: &str, at: Instant, time_left_ms: u64) -> Arrival {
@@ -191,15 +213,19 @@
         assert_eq!(lost(&outcome(Ending::Served, 1299), &[]), 0);
         assert_eq!(lost(&outcome(Ending::Served, 1301), &[]), 1);
         let now = Instant::now();
-        assert_eq!(repeated_writes(&[arrival("a", now, 1), arrival("b", now, 1)]).len(), 0);
-        assert_eq!(repeated_writes(&[arrival("a", now, 1), arrival("a", now, 1)]).len(), 1);
+        assert_eq!(repeated_writes(&[arrival("a", now, 1), arrival("b", now, 1)], &[], &timeline).len(), 0);
+        assert_eq!(repeated_writes(&[arrival("a", now, 1), arrival("a", now, 1)], &[], &timeline).len(), 1);
         let departure = Departure { id_prefix: "a".to_owned(), at: now };
         let late = arrival("a1", now + Duration::from_millis(160), 1);
         let in_time = arrival("a2", now + Duration::from_millis(90), 1);
         assert_eq!(attempts_after_departures(&[late, in_time], &[departure]).len(), 1);
         let request = outcome(Ending::Served, 5);
         let told = |time_left_ms| {
-            excessive_times(&[arrival("a", request.sent_at, time_left_ms)], std::slice::from_ref(&request))
+            excessive_times(
+                &[arrival("a", request.sent_at, time_left_ms)],
+                std::slice::from_ref(&request),
+                &timeline,
+            )
         };
         assert_eq!((told(800).len(), told(1001).len()), (0, 1));
     }
--- a/tests/soak/clients.rs
+++ b/tests/soak/clients.rs
@@ -1,7 +1,6 @@
 //! Clients of a soak: usual ones, which keep to the protocol, and ones that leave.
 
 use std::io::Write;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread::{self, JoinHandle};
@@ -10,6 +9,7 @@
 use pipittack_testkit::closing_stream::ClosingStream;
 use pipittack_testkit::wire::{query, read_message, startup};
 
+use crate::balancer::Balancer;
 use crate::instance::Instance;
 use crate::support::*;
 
@@ -48,7 +48,7 @@
     ConnectionEnded {
         is_new: bool,
     },
-    /// No connection could be opened.
+    /// No connection could be opened, or none may be.
     Unreachable,
 }
 
@@ -57,6 +57,8 @@
 pub struct Outcome {
     pub id: String,
     pub sent_at: Instant,
+    /// Time at which the client sent the request once more, as its connection had ended.
+    pub sent_again_at: Option<Instant>,
     pub ended_at: Instant,
     pub ending: Ending,
 }
@@ -72,8 +74,8 @@
         let stop = Arc::new(AtomicBool::new(false));
         let threads = (0..USUAL_CLIENTS)
             .map(|number| {
-                let (stop, address) = (stop.clone(), instance.address.clone());
-                thread::spawn(move || send_usual_requests(number, &address, &stop))
+                let (stop, balancer) = (stop.clone(), instance.balancer.clone());
+                thread::spawn(move || send_usual_requests(number, &balancer, &stop))
             })
             .collect();
         Self { stop, threads }
@@ -86,7 +88,7 @@
     }
 }
 
-fn send_usual_requests(client: usize, address: &Mutex<SocketAddr>, stop: &AtomicBool) -> Vec<Outcome> {
+fn send_usual_requests(client: usize, balancer: &Balancer, stop: &AtomicBool) -> Vec<Outcome> {
     let mut outcomes = Vec::new();
     let mut connection: Option<ClosingStream> = None;
     for number in 0.. {
@@ -99,15 +101,24 @@
             _ => read_statement_with_id(&id, TIMEOUT.as_millis() as u64),
         };
         let sent_at = Instant::now();
-        let ending = send(&mut connection, address, &query(&statement));
-        outcomes.push(Outcome { id, sent_at, ended_at: Instant::now(), ending });
+        let mut sent_again_at = None;
+        let ending = send(&mut connection, balancer, &query(&statement), &mut sent_again_at);
+        outcomes.push(Outcome { id, sent_at, sent_again_at, ended_at: Instant::now(), ending });
         thread::sleep(USUAL_INTERVAL.saturating_sub(sent_at.elapsed()));
     }
     outcomes
 }
 
-/// Sends a request on the open connection or, if that has been closed between two requests, on a new one.
-fn send(connection: &mut Option<ClosingStream>, address: &Mutex<SocketAddr>, request: &[u8]) -> Ending {
+/// Sends a request on the open connection or, if a close between two requests has crossed it, once more on a new one.
+/// Sets `sent_again_at` then.
+fn send(
+    connection: &mut Option<ClosingStream>,
+    balancer: &Balancer,
+    request: &[u8],
+    sent_again_at: &mut Option<Instant>,
+) -> Ending {
+    let sent_at = Instant::now();
+    let is_open = connection.is_some();
     if let Some(mut stream) = connection.take() {
         if stream.write_all(request).is_ok() {
             if let Some(ending) = read_ending(&mut stream) {
@@ -116,8 +127,11 @@
             }
         }
     }
-    // The close crossed the request, which the client sends once more.
-    let address = *address.lock().expect("no thread panics");
+    if is_open && !balancer.may_send_again(sent_at) {
+        return Ending::ConnectionEnded { is_new: false };
+    }
+    let Some(address) = balancer.address() else { return Ending::Unreachable };
+    *sent_again_at = is_open.then(Instant::now);
     let Ok(mut stream) = ClosingStream::connect(address) else { return Ending::Unreachable };
     let _ = stream.set_read_timeout(Some(PATIENCE));
     let is_sent = stream.write_all(&[&startup(), request].concat()).is_ok();
--- a/tests/soak/instance.rs
+++ b/tests/soak/instance.rs
@@ -1,13 +1,13 @@
 //! The proxy instance of a soak: its processes, and the events that happen to them.
 
-use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::sync::{Arc, Mutex};
+use std::sync::Arc;
 use std::thread;
 use std::time::{Duration, Instant};
 
 use pipittack_testkit::wire::query;
 
+use crate::balancer::Balancer;
 use crate::clients::{LeavingClient, RequestLog};
 use crate::events::{flood, EventKind};
 use crate::servers::{Behavior, Servers};
@@ -78,8 +78,7 @@
     pub servers: Servers,
     pub requests: Arc<RequestLog>,
     pub log: ProcessLog,
-    /// Address of the process that accepts clients.
-    pub address: Arc<Mutex<SocketAddr>>,
+    pub balancer: Arc<Balancer>,
     faults: SystemFaults,
     state_dir: PathBuf,
     current: Proxy,
@@ -105,7 +104,7 @@
             servers,
             requests: Arc::default(),
             log: ProcessLog::new(),
-            address: Arc::new(Mutex::new(current.address)),
+            balancer: Arc::new(Balancer::new(current.address)),
             faults,
             state_dir,
             current,
@@ -174,6 +173,7 @@
     /// Terminates the last process and waits until all have ended.
     pub fn shut_down(&mut self) {
         self.slow_crowd = None;
+        self.balancer.stop_soon();
         self.terminate_current(None);
         while !self.ending.is_empty() {
             thread::sleep(Duration::from_millis(5));
@@ -190,7 +190,7 @@
 
     fn upgrade(&mut self, terminate_after: Duration) {
         let successor = self.start_process();
-        *self.address.lock().expect("no thread panics") = successor.address;
+        self.balancer.send_to(successor.address);
         thread::sleep(terminate_after);
         self.terminate_current(Some(successor));
     }
@@ -225,6 +225,7 @@
 
     fn kill_successor(&mut self) {
         let mut successor = self.start_process();
+        self.balancer.process_killed();
         self.log.record_kill(&successor);
         let _ = successor.child.kill();
         let _ = successor.child.wait();
@@ -232,12 +233,13 @@
 
     fn kill_current(&mut self) {
         self.record_memory();
+        self.balancer.process_killed();
         self.log.record_kill(&self.current);
         let _ = self.current.child.kill();
         let _ = self.current.child.wait();
         self.log.record_end(&self.current);
         self.current = self.start_process();
-        *self.address.lock().expect("no thread panics") = self.current.address;
+        self.balancer.send_to(self.current.address);
         if let Some(SlowCrowd { clients, crowd }) = self.slow_crowd.take() {
             drop(crowd);
             self.start_slow_crowd(clients);
--- a/tests/soak/main.rs
+++ b/tests/soak/main.rs
@@ -7,6 +7,7 @@
 #[path = "../support/mod.rs"]
 mod support;
 
+mod balancer;
 mod checks;
 mod clients;
 mod events;
