Try another address when a planted-fault test loses the one that it chose

Cause, by reading: a test finds a free address, lets it go and binds it again; the lock covers the tests of this module, not the other tests and processes. Change: it tries up to 20 addresses.

--- a/testkit/src/fleet/process_trial/exchange/tests.rs
+++ b/testkit/src/fleet/process_trial/exchange/tests.rs
@@ -1,6 +1,5 @@
 //! Tests of the exchange with planted faults: proxies that break a rule, and a client that sends again.
 
-use std::sync::Mutex;
 use std::time::Duration;
 
 use tokio::net::TcpListener;
@@ -29,21 +28,29 @@
 /// Time for which a scripted proxy holds a statement, and for which a server may execute an attempt.
 const HOLD_TIME: Duration = Duration::from_millis(300);
 
-/// Held while a trial chooses the address of its proxy and until it listens there. All tests of one process
-/// try the addresses in the same order.
-static ADDRESS_CHOICE: Mutex<()> = Mutex::new(());
+/// Number of addresses that are tried for a proxy. Another test or process may take an address between its choice and
+/// the test's listening there.
+const MAX_ADDRESSES: usize = 20;
+
+/// Returns a process table with one proxy, and the listener of the proxy.
+fn listen_as_proxy(name: &str) -> (ProcessTable, std::net::TcpListener) {
+    let folder = std::env::temp_dir().join(format!("exchange-{name}-{}", std::process::id()));
+    let try_address = || {
+        let paths = TrialPaths { program: "true".into(), folder: folder.clone() };
+        let processes = ProcessTable::new(paths, 1).expect("the folder is writable");
+        let listener = std::net::TcpListener::bind(processes.listen_address(0)).ok()?;
+        Some((processes, listener))
+    };
+    let mut tries = (0..MAX_ADDRESSES).map(|_| try_address());
+    tries.find_map(|listening| listening).expect("one of the chosen addresses is free")
+}
 
 /// Creates the state of a trial with one proxy and one server, which is the primary. Also returns the listener
 /// of the proxy.
 fn create_trial(name: &str) -> (SharedTrial, TcpListener) {
     let plan = scenario::parse("(fleet (proxies 1) (sets 1) (members 1) (load 0.1)) (length 1)")
         .expect("the scenario is valid");
-    let folder = std::env::temp_dir().join(format!("exchange-{name}-{}", std::process::id()));
-    let paths = TrialPaths { program: "true".into(), folder };
-    let guard = ADDRESS_CHOICE.lock().expect("no test panics while it chooses");
-    let processes = ProcessTable::new(paths, plan.proxy_count).expect("the folder is writable");
-    let listener = std::net::TcpListener::bind(processes.listen_address(0)).expect("the address is free");
-    drop(guard);
+    let (processes, listener) = listen_as_proxy(name);
     listener.set_nonblocking(true).expect("the listener is open");
     let listener = TcpListener::from_std(listener).expect("a runtime is entered");
     let shared = SharedTrial::new(TrialState::new(plan, processes));
