Name probes for what they serve now, and start held writes in one place

Read again: the probe functions of the engine serve role probes as well as position probes, so they lose the word position; the comments on StatusReported and status_reported, and on-call's row, said that a status comes behind a long row only, and health checks report one too. Two tests of large_statements.rs began with the same lines: start_with_held_writes. No behaviour, assertion or bound changes.

--- a/core/src/api/event.rs
+++ b/core/src/api/event.rs
@@ -35,13 +35,14 @@
         /// Commit position, or an upper bound of it.
         commit: Duration,
     },
-    /// The end of a response arrived after its attempt had ended, with the status of the server.
+    /// A server sent its status in the response to a health check, or in the end of a response that arrived
+    /// after its attempt had ended.
     StatusReported {
         /// Server that sent the status.
         server: ServerId,
         /// Status that the server sent.
         status: ServerStatus,
-        /// Time at which the attempt was sent.
+        /// Time at which the attempt or the health check was sent.
         sent_at: Duration,
     },
     /// The first part of a streamed response was forwarded to the client, so the request can no longer be
--- a/core/src/routing/dispatch.rs
+++ b/core/src/routing/dispatch.rs
@@ -111,8 +111,8 @@
             }
             ReadDecision::Route { attempt, probe } => {
                 if let Some(server) = probe {
-                    self.cluster.server_mut(server)?.position_probe_sent(self.now);
-                    self.requests.get_mut(&id)?.position_probe_sent();
+                    self.cluster.server_mut(server)?.probe_sent(self.now);
+                    self.requests.get_mut(&id)?.probe_sent();
                     actions.push(Action::HealthCheck { server });
                 }
                 attempt
--- a/core/src/routing/mod.rs
+++ b/core/src/routing/mod.rs
@@ -257,7 +257,8 @@
         }
     }
 
-    /// Records the status at the end of a response whose attempt had already ended.
+    /// Records the status in the response to a health check, or at the end of a response whose attempt had
+    /// already ended.
     fn status_reported(&mut self, id: ServerId, status: ServerStatus, sent_at: Duration) {
         let Some(server) = self.cluster.server_mut(id) else { return };
         server.health_check_succeeded();
--- a/core/src/routing/open_request.rs
+++ b/core/src/routing/open_request.rs
@@ -122,13 +122,13 @@
         self.last_failed_server
     }
 
-    /// Returns whether a replica was probed by a health check for the request.
+    /// Returns whether a member was probed by a health check for the request.
     pub fn has_probed_position(&self) -> bool {
         self.has_probed_position
     }
 
-    /// Records that a replica is probed by a health check for the request.
-    pub fn position_probe_sent(&mut self) {
+    /// Records that a member is probed by a health check for the request.
+    pub fn probe_sent(&mut self) {
         self.has_probed_position = true;
     }
 
--- a/core/src/routing/position_probe.rs
+++ b/core/src/routing/position_probe.rs
@@ -135,14 +135,13 @@
     }
     let available: Vec<_> = replicas.filter(can_probe).collect();
     let was_probed_recently = |server: &Server| {
-        server.is_health_check_pending()
-            && server.secs_since_position_probe(context.now) < MAX_REPORT_WAIT_SECS
+        server.is_health_check_pending() && server.secs_since_probe(context.now) < MAX_REPORT_WAIT_SECS
     };
     if is_large && available.iter().any(|replica| was_probed_recently(replica.server)) {
         return ProbeDecision::AwaitReport;
     }
     let is_behind = |server: &Server| {
-        server.secs_since_position_probe(context.now) >= MIN_PROBE_INTERVAL_SECS
+        server.secs_since_probe(context.now) >= MIN_PROBE_INTERVAL_SECS
             && server.replication().position() <= context.session_floor
     };
     let candidates: Vec<_> =
--- a/core/src/routing/role_probe.rs
+++ b/core/src/routing/role_probe.rs
@@ -30,7 +30,7 @@
         true => MIN_LARGE_FLEET_PROBE_INTERVAL_SECS,
         false => MIN_PROBE_INTERVAL_SECS,
     };
-    let secs_since_probe = |member: &Member| member.server.secs_since_position_probe(now);
+    let secs_since_probe = |member: &Member| member.server.secs_since_probe(now);
     let is_due = |member: &Member| {
         lost_primary != Some(member.id)
             && member.server.is_up()
--- a/core/src/routing/server/faults.rs
+++ b/core/src/routing/server/faults.rs
@@ -82,9 +82,9 @@
         self.is_health_check_pending
     }
 
-    /// Returns the seconds since a health check was last sent as a position probe.
-    pub fn secs_since_position_probe(&self, now: f64) -> f64 {
-        now - self.position_probed_at
+    /// Returns the seconds since a health check was last sent as a position or role probe.
+    pub fn secs_since_probe(&self, now: f64) -> f64 {
+        now - self.probed_at
     }
 
     /// Returns whether the server is down and a health check is due before the next trial.
@@ -101,10 +101,10 @@
         self.is_health_check_pending = true;
     }
 
-    /// Records that a health check is sent as a position probe.
-    pub fn position_probe_sent(&mut self, now: f64) {
+    /// Records that a health check is sent as a position or role probe.
+    pub fn probe_sent(&mut self, now: f64) {
         self.is_health_check_pending = true;
-        self.position_probed_at = now;
+        self.probed_at = now;
     }
 
     /// Records that a health check succeeded.
--- a/core/src/routing/server/mod.rs
+++ b/core/src/routing/server/mod.rs
@@ -50,7 +50,7 @@
     /// Time at which the server last refused a connection; 0 if never.
     connection_refused_at: f64,
     is_health_check_pending: bool,
-    position_probed_at: f64,
+    probed_at: f64,
     /// Evidence that the server does not respond, as log odds.
     suspicion: f64,
     down: Option<DownState>,
--- a/src/net/driver/servers.rs
+++ b/src/net/driver/servers.rs
@@ -9,8 +9,8 @@
 use crate::api::{EndpointUpdate, Event, GroupId, LoadReport, PeerMessage, ServerId, ServerStatus};
 
 impl<Q, R> Driver<Q, R> {
-    /// Reports the status that a server sent with the end of a response after the attempt, which was sent at
-    /// `sent_at`, had already ended.
+    /// Reports the status that a server sent in the response to a health check, or with the end of a response after
+    /// its attempt had already ended. `sent_at` is the time at which the health check or the attempt was sent.
     pub fn status_reported(&self, server: ServerId, status: ServerStatus, sent_at: Duration) {
         log::debug!(
             "status after a response of server {}: primary {:?}, position {:?}",
--- a/tests/large_statements.rs
+++ b/tests/large_statements.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use std::io::Write;
+use std::sync::mpsc::Sender;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::thread::{self, JoinHandle};
 use std::time::{Duration, Instant};
@@ -152,11 +153,22 @@
     write_time: Duration::ZERO,
 };
 
-/// Starts the held writes, and waits until the data server has received all of them.
-fn start_held_writes(proxy: &Proxy, server: &ScriptedServer) -> Vec<JoinHandle<WriteResult>> {
-    let held = HELD.start(proxy, "held", Duration::ZERO);
+/// A proxy whose memory is kept by writes that its data server holds.
+struct ProxyWithHeldWrites {
+    proxy: Proxy,
+    server: ScriptedServer,
+    /// Lets the data server answer one held write for each message, and all of them once it is dropped.
+    gate: Sender<()>,
+    held: Vec<JoinHandle<WriteResult>>,
+}
+
+/// Starts a proxy and the held writes, and waits until the data server has received all of them.
+fn start_with_held_writes() -> ProxyWithHeldWrites {
+    let (server, gate) = start_gated_server("id=held");
+    let proxy = start_proxy_with_limits(LIMITS, &[server.endpoint("a", "read-write", "Ready")]);
+    let held = HELD.start(&proxy, "held", Duration::ZERO);
     wait_until("the held writes reach the data server", || server.statement_count() >= HELD_WRITES);
-    held
+    ProxyWithHeldWrites { proxy, server, gate, held }
 }
 
 /// Guards against a wait for memory that does not count against the time of the request: the rest of its statement was
@@ -164,9 +176,7 @@
 #[test]
 fn a_wait_for_memory_counts_against_the_time_that_is_passed_on() {
     let _alone = run_alone();
-    let (server, gate) = start_gated_server("id=held");
-    let proxy = start_proxy_with_limits(LIMITS, &[server.endpoint("a", "read-write", "Ready")]);
-    let held = start_held_writes(&proxy, &server);
+    let ProxyWithHeldWrites { server, proxy, gate, held } = start_with_held_writes();
     let waiting = Writes { clients: 1, ..HELD }.start(&proxy, "waiting", Duration::ZERO);
     thread::sleep(HOLD_TIME);
     (0..HELD_WRITES).for_each(|_| gate.send(()).expect("the data server runs"));
@@ -184,9 +194,7 @@
 #[test]
 fn a_large_write_is_rejected_in_time_while_others_keep_the_memory() {
     let _alone = run_alone();
-    let (server, gate) = start_gated_server("id=held");
-    let proxy = start_proxy_with_limits(LIMITS, &[server.endpoint("a", "read-write", "Ready")]);
-    let held = start_held_writes(&proxy, &server);
+    let ProxyWithHeldWrites { server: _server, proxy, gate, held } = start_with_held_writes();
     let waiting = Writes { clients: 1, timeout_ms: 1260, ..HELD }.start(&proxy, "waiting", Duration::ZERO);
     let results = join(waiting);
     assert_eq!(results[0].kinds, "EZ");
